--- /dev/null
+++ b/internal/consensus/election.go
@@ -0,0 +1,113 @@
+package consensus
+
+import (
+	"time"
+
+	"github.com/passtray/passtray/internal/identity"
+)
+
+func (r *Replica) becomePreCandidate(now time.Time) {
+	r.role = PreCandidate
+	r.leader = identity.Identity{}
+	r.startBallot(now, PreVoteRequest, r.term+1)
+}
+
+func (r *Replica) becomeCandidate(now time.Time) {
+	r.role = Candidate
+	r.term++
+	r.votedFor = r.self
+	r.leader = identity.Identity{}
+	r.startBallot(now, VoteRequest, r.term)
+}
+
+// startBallot votes for itself and asks the other voters.
+func (r *Replica) startBallot(now time.Time, kind MessageKind, term uint64) {
+	r.votes = map[identity.Identity]bool{r.self: true}
+	r.resetElectionDeadline(now)
+	for _, voter := range r.Voters() {
+		if voter == r.self {
+			continue
+		}
+		r.send(Message{
+			Kind: kind, Term: term, To: voter,
+			LogTerm: r.log.lastTerm(), LogIndex: r.log.lastIndex(),
+		})
+	}
+	r.finishBallot(now)
+}
+
+// finishBallot moves on once a majority of the newest voters said yes.
+func (r *Replica) finishBallot(now time.Time) {
+	if !r.hasQuorum(func(voter identity.Identity) bool { return r.votes[voter] }) {
+		return
+	}
+	if r.role == PreCandidate {
+		r.becomeCandidate(now)
+		return
+	}
+	r.becomeLeader(now)
+}
+
+// hasQuorum reports whether a majority of the newest voters satisfies holds.
+func (r *Replica) hasQuorum(holds func(identity.Identity) bool) bool {
+	voters := r.Voters()
+	count := 0
+	for _, voter := range voters {
+		if holds(voter) {
+			count++
+		}
+	}
+	return count > len(voters)/2
+}
+
+// isUpToDate is the restriction of section 3.6.1: a leader must hold every
+// committed entry, so nobody votes for a log older than its own.
+func (r *Replica) isUpToDate(message *Message) bool {
+	if message.LogTerm != r.log.lastTerm() {
+		return message.LogTerm > r.log.lastTerm()
+	}
+	return message.LogIndex >= r.log.lastIndex()
+}
+
+func (r *Replica) answerPreVote(now time.Time, message *Message) {
+	accepted := message.Term > r.term && !r.leaderIsFresh(now) && r.isUpToDate(message)
+	reply := Message{Kind: PreVoteReply, To: message.From, Accepted: accepted}
+	if accepted {
+		reply.Term = message.Term
+	}
+	r.send(reply)
+}
+
+func (r *Replica) countPreVote(now time.Time, message *Message) {
+	if r.role != PreCandidate || !message.Accepted || message.Term != r.term+1 {
+		return
+	}
+	r.votes[message.From] = true
+	r.finishBallot(now)
+}
+
+func (r *Replica) answerVote(now time.Time, message *Message) {
+	if message.Term < r.term {
+		r.send(Message{Kind: VoteReply, To: message.From})
+		return
+	}
+	if message.Term > r.term {
+		// The leader is fresh: silence, and the term stays (section 4.2.3).
+		return
+	}
+	unbound := r.votedFor.IsZero() || r.votedFor == message.From
+	accepted := unbound && r.isUpToDate(message)
+	if accepted {
+		r.votedFor = message.From
+		r.resetElectionDeadline(now)
+	}
+	r.send(Message{Kind: VoteReply, To: message.From, Accepted: accepted})
+}
+
+func (r *Replica) countVote(now time.Time, message *Message) {
+	if r.role != Candidate || !message.Accepted || message.Term != r.term {
+		return
+	}
+	r.votes[message.From] = true
+	r.finishBallot(now)
+}
--- /dev/null
+++ b/internal/encapsulation/header.go
@@ -0,0 +1,265 @@
+// Package encapsulation is the header that stands before every datagram between
+// fabric, daemons and targets: PROXY protocol version 2 with the DGRAM
+// transport, the caller's address as source, the service's as destination, and
+// type-length-values of our own. The source is always the caller and the
+// destination always the service, in both directions.
+//
+// Append and Parse work on caller-owned memory and allocate nothing, which the
+// general library for this protocol cannot; the tests hold them against that
+// library in both directions.
+package encapsulation
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind says who sends a datagram to whom.
+type Kind uint8
+
+// The kinds of datagrams. KindFabric has no route value: it is what a fabric,
+// which knows nothing of us, sends and receives.
+const (
+	KindFabric Kind = iota
+	// KindToTarget goes from a daemon to a target.
+	KindToTarget
+	// KindFromTarget goes from a target to a daemon.
+	KindFromTarget
+	// KindToOwner goes from the daemon that received a first flight to the
+	// daemon that owns the flow.
+	KindToOwner
+	// KindToIngress goes from an owner to the daemon whose own address the
+	// caller used, with a reply for the caller.
+	KindToIngress
+)
+
+// TargetState is what a target says of itself in a report.
+type TargetState uint8
+
+// The states a target reports.
+const (
+	TargetAccepting TargetState = 1
+	TargetDraining  TargetState = 2
+)
+
+// Report is a target's own word on its load, sent with every reply.
+type Report struct {
+	State TargetState
+	// BusySlots and Slots count requests running and the most that may.
+	BusySlots uint16
+	Slots     uint16
+	// Connections and MaximumConnections count open connections.
+	Connections        uint32
+	MaximumConnections uint32
+}
+
+// Header is the decoded header of one datagram.
+type Header struct {
+	Kind Kind
+	// Caller and Service are the flow's outer addresses.
+	Caller  netip.AddrPort
+	Service netip.AddrPort
+	// ServiceNumber, TargetNumber and Revision are the route (not KindFabric).
+	ServiceNumber uint32
+	TargetNumber  uint32
+	Revision      uint64
+	// Ingress is the daemon that must return replies, if valid.
+	Ingress netip.AddrPort
+	// Report is the target's word (KindFromTarget).
+	Report Report
+	// Names is "service/target" on first flights to a target. It aliases the
+	// datagram.
+	Names []byte
+}
+
+const (
+	// MaximumSize is the longest header Append writes, in bytes.
+	MaximumSize = fixedSize + addressesSizeIPv6 +
+		valueHeaderSize + routeSize +
+		valueHeaderSize + addressValueSize +
+		valueHeaderSize + reportSize +
+		valueHeaderSize + MaximumNames
+	// MaximumNames is the longest Names, two names of 63 bytes and a slash.
+	MaximumNames = 127
+
+	fixedSize         = 16
+	addressesSizeIPv4 = 12
+	addressesSizeIPv6 = 36
+	valueHeaderSize   = 3
+	routeSize         = 17
+	addressValueSize  = 18
+	reportSize        = 13
+
+	versionAndCommand = 0x21 // version 2, command PROXY
+	datagramIPv4      = 0x12
+	datagramIPv6      = 0x22
+
+	// Types of our own, in the range the protocol leaves to applications.
+	typeRoute   = 0xE0
+	typeIngress = 0xE1
+	typeReport  = 0xE2
+	typeNames   = 0xE3
+)
+
+var signature = [12]byte{0x0D, 0x0A, 0x0D, 0x0A, 0x00, 0x0D, 0x0A, 0x51, 0x55, 0x49, 0x54, 0x0A}
+
+// Errors of Parse. They are values made once, so that a flood of bad datagrams
+// costs no allocation.
+var (
+	ErrTruncated = eris.New("header is cut short")
+	ErrSignature = eris.New("not a PROXY protocol version 2 header")
+	ErrTransport = eris.New("transport is not datagram over IPv4 or IPv6")
+	ErrValue     = eris.New("a value has the wrong length or content")
+)
+
+// Append writes the header to destination and returns the longer slice.
+// Addresses must be valid and, after unmapping, of one family.
+func Append(destination []byte, header *Header) []byte {
+	start := len(destination)
+	destination = append(destination, signature[:]...)
+	destination = appendAddresses(destination, header.Caller, header.Service)
+	if header.Kind != KindFabric {
+		destination = appendValueHeader(destination, typeRoute, routeSize)
+		destination = append(destination, byte(header.Kind))
+		destination = binary.BigEndian.AppendUint32(destination, header.ServiceNumber)
+		destination = binary.BigEndian.AppendUint32(destination, header.TargetNumber)
+		destination = binary.BigEndian.AppendUint64(destination, header.Revision)
+	}
+	if header.Ingress.IsValid() {
+		address := header.Ingress.Addr().As16()
+		destination = appendValueHeader(destination, typeIngress, addressValueSize)
+		destination = append(destination, address[:]...)
+		destination = binary.BigEndian.AppendUint16(destination, header.Ingress.Port())
+	}
+	if header.Kind == KindFromTarget {
+		destination = appendReport(destination, &header.Report)
+	}
+	if len(header.Names) > 0 {
+		destination = appendValueHeader(destination, typeNames, len(header.Names))
+		destination = append(destination, header.Names...)
+	}
+	binary.BigEndian.PutUint16(destination[start+14:], uint16(len(destination)-start-fixedSize))
+	return destination
+}
+
+func appendAddresses(destination []byte, caller, service netip.AddrPort) []byte {
+	callerAddress, serviceAddress := caller.Addr().Unmap(), service.Addr().Unmap()
+	if callerAddress.Is4() && serviceAddress.Is4() {
+		destination = append(destination, versionAndCommand, datagramIPv4, 0, 0)
+		source, target := callerAddress.As4(), serviceAddress.As4()
+		destination = append(destination, source[:]...)
+		destination = append(destination, target[:]...)
+	} else {
+		destination = append(destination, versionAndCommand, datagramIPv6, 0, 0)
+		source, target := callerAddress.As16(), serviceAddress.As16()
+		destination = append(destination, source[:]...)
+		destination = append(destination, target[:]...)
+	}
+	destination = binary.BigEndian.AppendUint16(destination, caller.Port())
+	return binary.BigEndian.AppendUint16(destination, service.Port())
+}
+
+func appendValueHeader(destination []byte, valueType byte, length int) []byte {
+	return append(destination, valueType, byte(length>>8), byte(length))
+}
+
+func appendReport(destination []byte, report *Report) []byte {
+	destination = appendValueHeader(destination, typeReport, reportSize)
+	destination = append(destination, byte(report.State))
+	destination = binary.BigEndian.AppendUint16(destination, report.BusySlots)
+	destination = binary.BigEndian.AppendUint16(destination, report.Slots)
+	destination = binary.BigEndian.AppendUint32(destination, report.Connections)
+	return binary.BigEndian.AppendUint32(destination, report.MaximumConnections)
+}
+
+// Parse reads the header of a datagram into header and returns its length in
+// bytes. The rest of the datagram is the payload.
+func Parse(datagram []byte, header *Header) (int, error) {
+	*header = Header{}
+	if len(datagram) < fixedSize {
+		return 0, ErrTruncated
+	}
+	if [12]byte(datagram[:12]) != signature || datagram[12] != versionAndCommand {
+		return 0, ErrSignature
+	}
+	length := fixedSize + int(binary.BigEndian.Uint16(datagram[14:]))
+	if len(datagram) < length {
+		return 0, ErrTruncated
+	}
+	values := datagram[fixedSize:length]
+	switch {
+	case datagram[13] == datagramIPv4 && len(values) >= addressesSizeIPv4:
+		header.Caller = netip.AddrPortFrom(netip.AddrFrom4([4]byte(values[0:4])), binary.BigEndian.Uint16(values[8:]))
+		header.Service = netip.AddrPortFrom(netip.AddrFrom4([4]byte(values[4:8])), binary.BigEndian.Uint16(values[10:]))
+		values = values[addressesSizeIPv4:]
+	case datagram[13] == datagramIPv6 && len(values) >= addressesSizeIPv6:
+		header.Caller = netip.AddrPortFrom(netip.AddrFrom16([16]byte(values[0:16])).Unmap(), binary.BigEndian.Uint16(values[32:]))
+		header.Service = netip.AddrPortFrom(netip.AddrFrom16([16]byte(values[16:32])).Unmap(), binary.BigEndian.Uint16(values[34:]))
+		values = values[addressesSizeIPv6:]
+	case datagram[13] == datagramIPv4 || datagram[13] == datagramIPv6:
+		return 0, ErrTruncated
+	default:
+		return 0, ErrTransport
+	}
+	if err := parseValues(values, header); err != nil {
+		return 0, err
+	}
+	return length, nil
+}
+
+func parseValues(values []byte, header *Header) error {
+	for len(values) > 0 {
+		if len(values) < valueHeaderSize {
+			return ErrTruncated
+		}
+		size := int(binary.BigEndian.Uint16(values[1:]))
+		if len(values) < valueHeaderSize+size {
+			return ErrTruncated
+		}
+		value := values[valueHeaderSize : valueHeaderSize+size]
+		if err := parseValue(values[0], value, header); err != nil {
+			return err
+		}
+		values = values[valueHeaderSize+size:]
+	}
+	if (header.Kind == KindFromTarget) != (header.Report.State != 0) {
+		return ErrValue
+	}
+	return nil
+}
+
+func parseValue(valueType byte, value []byte, header *Header) error {
+	switch valueType {
+	case typeRoute:
+		if len(value) != routeSize || value[0] < byte(KindToTarget) || value[0] > byte(KindToIngress) {
+			return ErrValue
+		}
+		header.Kind = Kind(value[0])
+		header.ServiceNumber = binary.BigEndian.Uint32(value[1:])
+		header.TargetNumber = binary.BigEndian.Uint32(value[5:])
+		header.Revision = binary.BigEndian.Uint64(value[9:])
+	case typeIngress:
+		if len(value) != addressValueSize {
+			return ErrValue
+		}
+		address := netip.AddrFrom16([16]byte(value[:16])).Unmap()
+		header.Ingress = netip.AddrPortFrom(address, binary.BigEndian.Uint16(value[16:]))
+	case typeReport:
+		if len(value) != reportSize || value[0] < byte(TargetAccepting) || value[0] > byte(TargetDraining) {
+			return ErrValue
+		}
+		header.Report.State = TargetState(value[0])
+		header.Report.BusySlots = binary.BigEndian.Uint16(value[1:])
+		header.Report.Slots = binary.BigEndian.Uint16(value[3:])
+		header.Report.Connections = binary.BigEndian.Uint32(value[5:])
+		header.Report.MaximumConnections = binary.BigEndian.Uint32(value[9:])
+	case typeNames:
+		if len(value) == 0 || len(value) > MaximumNames {
+			return ErrValue
+		}
+		header.Names = value
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/membership/broadcast.go
@@ -0,0 +1,70 @@
+package membership
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+
+	"github.com/passtray/passtray/internal/identity"
+)
+
+// broadcast is one piece of news with the number of times it was sent. News
+// sent least goes first (section 4.1 of the paper).
+type broadcast struct {
+	member  *Member
+	payload []byte
+	sent    int
+	size    int
+}
+
+// broadcastQueue holds news until each was sent often enough to reach all with
+// high probability.
+type broadcastQueue struct {
+	items []broadcast
+}
+
+// approximateMemberSize is a member's CBOR form in bytes, from above.
+const approximateMemberSize = 72
+
+func (q *broadcastQueue) addMember(member Member) {
+	q.items = slices.DeleteFunc(q.items, func(item broadcast) bool {
+		return item.member != nil && item.member.Identity == member.Identity
+	})
+	q.items = append(q.items, broadcast{member: &member, size: approximateMemberSize + len(member.Zone)})
+}
+
+func (q *broadcastQueue) addPayload(payload []byte) {
+	q.items = append(q.items, broadcast{payload: payload, size: len(payload) + 4})
+}
+
+// take moves news that fits into room bytes onto the message and returns the
+// bytes used. What was sent limit times is dropped.
+func (q *broadcastQueue) take(into *message, room, limit int) int {
+	slices.SortStableFunc(q.items, func(a, b broadcast) int { return cmp.Compare(a.sent, b.sent) })
+	used := 0
+	for index := range q.items {
+		item := &q.items[index]
+		if used+item.size > room {
+			continue
+		}
+		used += item.size
+		item.sent++
+		if item.member != nil {
+			into.Updates = append(into.Updates, *item.member)
+		} else {
+			into.Broadcasts = append(into.Broadcasts, item.payload)
+		}
+	}
+	q.items = slices.DeleteFunc(q.items, func(item broadcast) bool { return item.sent >= limit })
+	return used
+}
+
+func (q *broadcastQueue) forget(member identity.Identity) {
+	q.items = slices.DeleteFunc(q.items, func(item broadcast) bool {
+		return item.member != nil && item.member.Identity == member
+	})
+}
+
+func (c *Config) retransmitLimit(members int) int {
+	return c.RetransmitMultiplier * bits.Len(uint(members))
+}
