Data path, daemon, operators' interface and command line; history checker

Cause: the path from an operator's call to a forwarded packet.

Change: steering, ownership, balance, admission, batch forwarding, sealed and TLS peer transport, settings, telemetry, gRPC operators' interface, passtrayctl, the backend kit, and the checker of the eight invariants.

Measured: each invariant's check fails on a history that breaks it and on no other. Nothing of the data path is measured yet.

Conclusion: next is the lab that runs it.

--- /dev/null
+++ b/backend/packetconn.go
@@ -0,0 +1,202 @@
+package backend
+
+import (
+	"crypto/rand"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/passtray/passtray/internal/connectionid"
+	"github.com/passtray/passtray/internal/encapsulation"
+)
+
+// PacketConn is a net.PacketConn whose addresses are the callers', while the
+// datagrams travel to and from daemons.
+type PacketConn struct {
+	net.PacketConn
+	config  Config
+	names   string
+	keyring atomic.Pointer[connectionid.Keyring]
+	paths   *returnPaths
+
+	mutex sync.Mutex
+	// routes are this target's numbers, the newest last. It has several only
+	// after the fleet was formed anew.
+	routes []connectionid.Route
+
+	busy        atomic.Uint32
+	connections atomic.Uint32
+	draining    atomic.Bool
+	dropped     atomic.Uint64
+}
+
+const (
+	maximumRoutes     = 4
+	maximumDatagram   = 2048
+	socketBufferBytes = 2 << 20
+)
+
+// ListenPacket opens a target's packet connection, for servers that make their
+// own quic.Transport or speak plain UDP.
+func ListenPacket(address netip.AddrPort, config Config) (*PacketConn, error) {
+	if config.Service == "" || config.Target == "" {
+		return nil, eris.Errorf("service %q and target %q: both must be given", config.Service, config.Target)
+	}
+	connection := &PacketConn{config: config, names: config.Service + "/" + config.Target, paths: newReturnPaths()}
+	if config.KeyringPath != "" {
+		if err := connection.reloadKeyring(); err != nil {
+			return nil, err
+		}
+	}
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", address)
+	}
+	// Smaller buffers than asked for only cost packets under bursts.
+	_ = socket.SetReadBuffer(socketBufferBytes)
+	_ = socket.SetWriteBuffer(socketBufferBytes)
+	connection.PacketConn = socket
+	return connection, nil
+}
+
+func (c *PacketConn) reloadKeyring() error {
+	keyring, err := connectionid.LoadKeyring(c.config.KeyringPath)
+	if err != nil {
+		return err
+	}
+	c.keyring.Store(keyring)
+	return nil
+}
+
+func (c *PacketConn) route() (connectionid.Route, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if len(c.routes) == 0 {
+		return connectionid.Route{}, false
+	}
+	return c.routes[len(c.routes)-1], true
+}
+
+func (c *PacketConn) newID(route connectionid.Route) ([connectionid.Length]byte, error) {
+	var nonce [connectionid.NonceSize]byte
+	if _, err := rand.Read(nonce[:]); err != nil {
+		return [connectionid.Length]byte{}, eris.Wrap(err, "nonce")
+	}
+	return c.keyring.Load().Encode(route, nonce), nil
+}
+
+// ReadFrom returns the next payload meant for this target and its caller's
+// address. Everything else is counted and dropped.
+func (c *PacketConn) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	var datagram [maximumDatagram]byte
+	var header encapsulation.Header
+	for {
+		length, from, err := c.PacketConn.ReadFrom(datagram[:])
+		if err != nil {
+			return 0, nil, err
+		}
+		source := from.(*net.UDPAddr).AddrPort()
+		source = netip.AddrPortFrom(source.Addr().Unmap(), source.Port())
+		offset, err := encapsulation.Parse(datagram[:length], &header)
+		accepted := err == nil && c.isForMe(source, &header)
+		if err == nil && c.config.Trace != nil {
+			c.config.Trace(header.Service, accepted)
+		}
+		if !accepted {
+			c.dropped.Add(1)
+			continue
+		}
+		now := time.Now()
+		c.paths.heard(now, source)
+		if offset == length {
+			c.answerProbe(source, &header)
+			continue
+		}
+		c.paths.note(now, header.Caller, returnPath{daemon: source, ingress: header.Ingress, service: header.Service})
+		count := copy(buffer, datagram[offset:length])
+		return count, net.UDPAddrFromAddrPort(header.Caller), nil
+	}
+}
+
+// isForMe reports whether a datagram is meant for this target: it carries this
+// target's names, from which the numbers are learnt, or numbers learnt so.
+func (c *PacketConn) isForMe(source netip.AddrPort, header *encapsulation.Header) bool {
+	if header.Kind != encapsulation.KindToTarget || !c.isDaemon(source.Addr()) {
+		return false
+	}
+	route := connectionid.Route{Service: header.ServiceNumber, Target: header.TargetNumber}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, known := range c.routes {
+		if known == route {
+			return len(header.Names) == 0 || string(header.Names) == c.names
+		}
+	}
+	if string(header.Names) != c.names {
+		return false
+	}
+	c.routes = append(c.routes, route)
+	if excess := len(c.routes) - maximumRoutes; excess > 0 {
+		c.routes = c.routes[excess:]
+	}
+	return true
+}
+
+func (c *PacketConn) isDaemon(address netip.Addr) bool {
+	if len(c.config.Daemons) == 0 {
+		return true
+	}
+	for _, network := range c.config.Daemons {
+		if network.Contains(address) {
+			return true
+		}
+	}
+	return false
+}
+
+// answerProbe sends a report without a payload to a daemon that asked with a
+// datagram without one.
+func (c *PacketConn) answerProbe(daemon netip.AddrPort, header *encapsulation.Header) {
+	reply := c.replyHeader(header.Caller, header.Service)
+	_, _ = c.PacketConn.WriteTo(encapsulation.Append(nil, &reply), net.UDPAddrFromAddrPort(daemon))
+}
+
+func (c *PacketConn) replyHeader(caller, service netip.AddrPort) encapsulation.Header {
+	route, _ := c.route()
+	state := encapsulation.TargetAccepting
+	if c.draining.Load() {
+		state = encapsulation.TargetDraining
+	}
+	return encapsulation.Header{
+		Kind: encapsulation.KindFromTarget, Caller: caller, Service: service,
+		ServiceNumber: route.Service, TargetNumber: route.Target,
+		Report: encapsulation.Report{
+			State: state, BusySlots: uint16(c.busy.Load()), Slots: c.config.Slots,
+			Connections: c.connections.Load(), MaximumConnections: c.config.MaximumConnections,
+		},
+	}
+}
+
+// WriteTo sends a payload to a caller by way of a daemon, with this target's
+// report. A caller that was never heard of is an error.
+func (c *PacketConn) WriteTo(payload []byte, to net.Addr) (int, error) {
+	address := to.(*net.UDPAddr).AddrPort()
+	caller := netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+	path, known := c.paths.choose(time.Now(), caller)
+	if !known {
+		return 0, eris.Errorf("caller %s was never heard of", caller)
+	}
+	header := c.replyHeader(caller, path.service)
+	header.Ingress = path.ingress
+	datagram := encapsulation.Append(make([]byte, 0, encapsulation.MaximumSize+len(payload)), &header)
+	datagram = append(datagram, payload...)
+	if _, err := c.PacketConn.WriteTo(datagram, net.UDPAddrFromAddrPort(path.daemon)); err != nil {
+		// A daemon that is gone is like a lost packet: the next goes elsewhere.
+		c.paths.failed(path.daemon)
+	}
+	return len(payload), nil
+}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -89,7 +89,6 @@
 	statuses    map[uint64]*pendingStatus
 	nextSync    time.Time
 	wasLeader   bool
-	notedVoters []identity.Identity
 
 	output Output
 }
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -16,7 +16,6 @@
 	change    catalog.Change
 	deadline  time.Time
 	nextSend  time.Time
-	unsettled bool
 }
 
 // inFlight is a change this daemon, as leader, has put into the log.
--- /dev/null
+++ b/internal/ctl/apply.go
@@ -0,0 +1,229 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"go.yaml.in/yaml/v3"
+
+	passtrayv1 "github.com/passtray/passtray/api/passtray/v1"
+)
+
+// Declaration is the file that apply reads.
+type Declaration struct {
+	Services []DeclaredService `yaml:"services"`
+}
+
+// DeclaredService is one service of the file.
+type DeclaredService struct {
+	Name     string           `yaml:"name"`
+	Address  string           `yaml:"address"`
+	Protocol string           `yaml:"protocol"`
+	Priority string           `yaml:"priority"`
+	Limits   DeclaredLimits   `yaml:"limits"`
+	Targets  []DeclaredTarget `yaml:"targets"`
+}
+
+// DeclaredLimits are a service's limits.
+type DeclaredLimits struct {
+	NewFlowsPerSecond    uint32 `yaml:"new_flows_per_second"`
+	ConnectionsPerTarget uint32 `yaml:"connections_per_target"`
+}
+
+// DeclaredTarget is one target of the file.
+type DeclaredTarget struct {
+	Name    string  `yaml:"name"`
+	Address string  `yaml:"address"`
+	Zone    string  `yaml:"zone"`
+	Weight  *uint32 `yaml:"weight"`
+}
+
+const defaultWeight = 100
+
+// ReadDeclaration reads a file. An unknown field is an error that names file,
+// line and field.
+func ReadDeclaration(path string) (*Declaration, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "declaration")
+	}
+	defer func() { _ = file.Close() }()
+	decoder := yaml.NewDecoder(file)
+	decoder.KnownFields(true)
+	declaration := &Declaration{}
+	if err := decoder.Decode(declaration); err != nil && !errors.Is(err, io.EOF) {
+		return nil, usageError("%s: %s", path, err)
+	}
+	for index, service := range declaration.Services {
+		if _, err := service.message(); err != nil {
+			return nil, usageError("%s: services[%d]: %s", path, index, err)
+		}
+	}
+	return declaration, nil
+}
+
+func (s *DeclaredService) message() (*passtrayv1.Service, error) {
+	if s.Protocol == "" {
+		s.Protocol = "quic"
+	}
+	protocol, err := long("protocol", s.Protocol, "PROTOCOL_", passtrayv1.Protocol_value)
+	if err != nil {
+		return nil, err
+	}
+	priority, err := long("priority", s.Priority, "PRIORITY_", passtrayv1.Priority_value)
+	if err != nil {
+		return nil, err
+	}
+	return &passtrayv1.Service{
+		Name: s.Name, Address: s.Address, Protocol: passtrayv1.Protocol(protocol), Priority: passtrayv1.Priority(priority),
+		Limits: &passtrayv1.Limits{
+			NewFlowsPerSecond: s.Limits.NewFlowsPerSecond, ConnectionsPerTarget: s.Limits.ConnectionsPerTarget,
+		},
+	}, nil
+}
+
+func (t *DeclaredTarget) message(service string) *passtrayv1.Target {
+	weight := uint32(defaultWeight)
+	if t.Weight != nil {
+		weight = *t.Weight
+	}
+	return &passtrayv1.Target{Service: service, Name: t.Name, Address: t.Address, Zone: t.Zone, Weight: weight}
+}
+
+type applyCommand struct {
+	program *program
+	File    string `short:"f" long:"file" required:"true" description:"declaration (YAML)"`
+	Wait    bool   `long:"wait" description:"return only when all is in force on every live daemon"`
+	DryRun  bool   `long:"dry-run" description:"print what would be done and change nothing"`
+}
+
+// plannedChange is one call that apply makes.
+type plannedChange struct {
+	what string
+	run  func(context.Context, passtrayv1.OperatorClient, *passtrayv1.ChangeOptions) (*passtrayv1.ChangeResponse, error)
+}
+
+// Execute serves go-flags. It creates and changes what differs; what the file
+// does not name is left alone.
+func (c *applyCommand) Execute([]string) error {
+	declaration, err := ReadDeclaration(c.File)
+	if err != nil {
+		return err
+	}
+	var current *passtrayv1.Configuration
+	err = c.program.call(func(ctx context.Context, client passtrayv1.OperatorClient) error {
+		current, err = client.GetConfiguration(ctx, &passtrayv1.GetConfigurationRequest{})
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	changes, err := planChanges(declaration, current)
+	if err != nil {
+		return err
+	}
+	return c.run(changes)
+}
+
+func (c *applyCommand) run(changes []plannedChange) error {
+	revision := uint64(0)
+	for _, change := range changes {
+		_, _ = fmt.Fprintln(c.program.errOut, change.what)
+		if c.DryRun {
+			continue
+		}
+		options := (&ChangeFlags{}).options()
+		err := c.program.call(func(ctx context.Context, client passtrayv1.OperatorClient) error {
+			answer, err := change.run(ctx, client, options)
+			revision = max(revision, answer.GetRevision())
+			return err
+		})
+		if err != nil {
+			return eris.Wrap(err, change.what)
+		}
+	}
+	_, _ = fmt.Fprintf(c.program.errOut, "%d change(s), revision %d\n", len(changes), revision)
+	if c.Wait && revision > 0 {
+		return c.program.wait(revision)
+	}
+	return nil
+}
+
+func planChanges(declaration *Declaration, current *passtrayv1.Configuration) ([]plannedChange, error) {
+	var changes []plannedChange
+	for index := range declaration.Services {
+		declared := &declaration.Services[index]
+		wanted, err := declared.message()
+		if err != nil {
+			return nil, err
+		}
+		serviceChanges, err := planService(wanted, current)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, serviceChanges...)
+		for position := range declared.Targets {
+			targetChanges, err := planTarget(declared.Targets[position].message(declared.Name), current)
+			if err != nil {
+				return nil, err
+			}
+			changes = append(changes, targetChanges...)
+		}
+	}
+	return changes, nil
+}
+
+func planService(wanted *passtrayv1.Service, current *passtrayv1.Configuration) ([]plannedChange, error) {
+	for _, held := range current.GetServices() {
+		if held.GetName() != wanted.GetName() || held.GetRetired() {
+			continue
+		}
+		if held.GetAddress() != wanted.GetAddress() || held.GetProtocol() != wanted.GetProtocol() {
+			return nil, usageError("service %q: address and protocol cannot be changed (in force: %s %s)",
+				wanted.GetName(), held.GetAddress(), short(held.GetProtocol()))
+		}
+		wantedConnections := wanted.GetLimits().GetConnectionsPerTarget()
+		sameLimits := held.GetLimits().GetNewFlowsPerSecond() == wanted.GetLimits().GetNewFlowsPerSecond() &&
+			(wantedConnections == 0 || held.GetLimits().GetConnectionsPerTarget() == wantedConnections)
+		if sameLimits && held.GetPriority() == wanted.GetPriority() {
+			return nil, nil
+		}
+		return []plannedChange{{"update service " + wanted.GetName(), func(ctx context.Context, client passtrayv1.OperatorClient, options *passtrayv1.ChangeOptions) (*passtrayv1.ChangeResponse, error) {
+			return client.UpdateService(ctx, &passtrayv1.UpdateServiceRequest{
+				Options: options, Name: wanted.GetName(), Priority: wanted.GetPriority(), Limits: wanted.GetLimits(),
+			})
+		}}}, nil
+	}
+	return []plannedChange{{"create service " + wanted.GetName(), func(ctx context.Context, client passtrayv1.OperatorClient, options *passtrayv1.ChangeOptions) (*passtrayv1.ChangeResponse, error) {
+		return client.CreateService(ctx, &passtrayv1.CreateServiceRequest{Options: options, Service: wanted})
+	}}}, nil
+}
+
+func planTarget(wanted *passtrayv1.Target, current *passtrayv1.Configuration) ([]plannedChange, error) {
+	name := wanted.GetService() + "/" + wanted.GetName()
+	for _, held := range current.GetTargets() {
+		sameName := held.GetService() == wanted.GetService() && held.GetName() == wanted.GetName()
+		if !sameName || held.GetState() == passtrayv1.TargetState_TARGET_STATE_RETIRED {
+			continue
+		}
+		if held.GetAddress() != wanted.GetAddress() || held.GetZone() != wanted.GetZone() {
+			return nil, usageError("target %q: address and zone cannot be changed (in force: %s %s); retire it and add another",
+				name, held.GetAddress(), held.GetZone())
+		}
+		if held.GetWeight() == wanted.GetWeight() {
+			return nil, nil
+		}
+		return []plannedChange{{"weigh target " + name, func(ctx context.Context, client passtrayv1.OperatorClient, options *passtrayv1.ChangeOptions) (*passtrayv1.ChangeResponse, error) {
+			return client.SetTargetWeight(ctx, &passtrayv1.SetTargetWeightRequest{
+				Options: options, Service: wanted.GetService(), Name: wanted.GetName(), Weight: wanted.GetWeight(),
+			})
+		}}}, nil
+	}
+	return []plannedChange{{"add target " + name, func(ctx context.Context, client passtrayv1.OperatorClient, options *passtrayv1.ChangeOptions) (*passtrayv1.ChangeResponse, error) {
+		return client.AddTarget(ctx, &passtrayv1.AddTargetRequest{Options: options, Target: wanted})
+	}}}, nil
+}
--- /dev/null
+++ b/internal/forwarding/worker.go
@@ -0,0 +1,209 @@
+package forwarding
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/net/ipv4"
+)
+
+const (
+	// BatchSize is how many datagrams are read or written in one call.
+	BatchSize = 64
+	// Headroom is the space before each datagram read, for a longer header.
+	Headroom = 384
+	// MaximumDatagram is the longest datagram accepted, in bytes. Anything
+	// longer than an Ethernet frame with our header is not ours.
+	MaximumDatagram = 2048
+
+	retryAfterError = time.Millisecond
+)
+
+// Inbound is one datagram read.
+type Inbound struct {
+	// Source is who sent it.
+	Source netip.AddrPort
+	// Buffer holds Headroom bytes and then the datagram; it is valid only
+	// during the call.
+	Buffer []byte
+}
+
+// Datagram returns the bytes read.
+func (i *Inbound) Datagram() []byte { return i.Buffer[Headroom:] }
+
+// Handler decides on one datagram, and sends what comes of it with the worker's
+// Send.
+type Handler interface {
+	Handle(worker *Worker, inbound *Inbound)
+}
+
+// Counters count what workers moved.
+type Counters struct {
+	Received  atomic.Uint64
+	Sent      atomic.Uint64
+	SendError atomic.Uint64
+	Oversized atomic.Uint64
+	// LastReceived is when a batch last came, in Unix nanoseconds.
+	LastReceived atomic.Int64
+}
+
+// Worker reads one socket and owns the buffers of one goroutine.
+type Worker struct {
+	socket   Socket
+	handler  Handler
+	counters *Counters
+	incoming []ipv4.Message
+	outgoing []*outgoingBatch
+	// Context is the handler's own memory for this goroutine.
+	Context any
+}
+
+// outgoingBatch gathers datagrams for one socket.
+type outgoingBatch struct {
+	socket    Socket
+	messages  []ipv4.Message
+	addresses []net.UDPAddr
+	storage   [][net.IPv6len]byte
+	count     int
+}
+
+// NewWorker makes a worker for a socket.
+func NewWorker(socket Socket, handler Handler, counters *Counters) *Worker {
+	worker := &Worker{socket: socket, handler: handler, counters: counters}
+	worker.incoming = make([]ipv4.Message, BatchSize)
+	for index := range worker.incoming {
+		buffer := make([]byte, Headroom+MaximumDatagram)
+		worker.incoming[index].Buffers = [][]byte{buffer[Headroom:], buffer[:Headroom]}[:1]
+	}
+	return worker
+}
+
+// Send queues a datagram; it goes out before the next read. The bytes must stay
+// valid until then, as the inbound buffer does.
+func (w *Worker) Send(socket Socket, to netip.AddrPort, datagram []byte) {
+	batch := w.batchFor(socket)
+	if batch.count == BatchSize {
+		w.flush(batch)
+	}
+	index := batch.count
+	batch.count++
+	batch.messages[index].Buffers[0] = datagram
+	address := &batch.addresses[index]
+	if ip := to.Addr(); ip.Is4() {
+		four := ip.As4()
+		address.IP = append(batch.storage[index][:0], four[:]...)
+	} else {
+		batch.storage[index] = ip.As16()
+		address.IP = batch.storage[index][:]
+	}
+	address.Port = int(to.Port())
+}
+
+func (w *Worker) batchFor(socket Socket) *outgoingBatch {
+	for _, batch := range w.outgoing {
+		if batch.socket == socket {
+			return batch
+		}
+	}
+	batch := &outgoingBatch{
+		socket:    socket,
+		messages:  make([]ipv4.Message, BatchSize),
+		addresses: make([]net.UDPAddr, BatchSize),
+		storage:   make([][net.IPv6len]byte, BatchSize),
+	}
+	for index := range batch.messages {
+		batch.messages[index].Buffers = make([][]byte, 1)
+		batch.messages[index].Addr = &batch.addresses[index]
+	}
+	w.outgoing = append(w.outgoing, batch)
+	return batch
+}
+
+func (w *Worker) flush(batch *outgoingBatch) {
+	pending := batch.messages[:batch.count]
+	batch.count = 0
+	for len(pending) > 0 {
+		sent, err := batch.socket.WriteBatch(pending, 0)
+		if err != nil {
+			// The kernel refused the first datagram, such as one to a port
+			// nobody listens on: it is lost as on any network.
+			w.counters.SendError.Add(1)
+			sent = 1
+		} else {
+			w.counters.Sent.Add(uint64(sent))
+		}
+		pending = pending[min(max(sent, 1), len(pending)):]
+	}
+}
+
+// Flush sends all that is queued.
+func (w *Worker) Flush() {
+	for _, batch := range w.outgoing {
+		if batch.count > 0 {
+			w.flush(batch)
+		}
+	}
+}
+
+// Run reads until the socket is closed.
+func (w *Worker) Run() {
+	var inbound Inbound
+	for {
+		count, err := w.socket.ReadBatch(w.incoming, 0)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(retryAfterError)
+			continue
+		}
+		w.counters.Received.Add(uint64(count))
+		w.counters.LastReceived.Store(time.Now().UnixNano())
+		for index := range count {
+			w.handleOne(&w.incoming[index], &inbound)
+		}
+		w.Flush()
+	}
+}
+
+func (w *Worker) handleOne(message *ipv4.Message, inbound *Inbound) {
+	if message.N >= MaximumDatagram {
+		w.counters.Oversized.Add(1)
+		return
+	}
+	inbound.Source = AddressOf(message.Addr)
+	inbound.Buffer = wholeBuffer(message)[:Headroom+message.N]
+	w.handler.Handle(w, inbound)
+}
+
+// wholeBuffer returns the buffer with its headroom, which stands behind the
+// slice's visible end.
+func wholeBuffer(message *ipv4.Message) []byte { return message.Buffers[:2][1][:Headroom+MaximumDatagram] }
+
+// Group runs workers.
+type Group struct {
+	waiting sync.WaitGroup
+	sockets []Socket
+}
+
+// Start runs a worker in a goroutine of its own until Close.
+func (g *Group) Start(worker *Worker) {
+	g.sockets = append(g.sockets, worker.socket)
+	g.waiting.Add(1)
+	go func() {
+		defer g.waiting.Done()
+		worker.Run()
+	}()
+}
+
+// Close closes the workers' sockets and waits for them.
+func (g *Group) Close() {
+	for _, socket := range g.sockets {
+		_ = socket.Close()
+	}
+	g.waiting.Wait()
+}
--- /dev/null
+++ b/internal/lab/history/check.go
@@ -0,0 +1,265 @@
+package history
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// The invariants by name, in the order they are judged.
+const (
+	FeedsStayConnected      = "feeds stay connected"
+	NoForeignPackets        = "no packet reaches another service"
+	AnswersAreWhole         = "answers are whole"
+	NotRunIsTrue            = "not run is true"
+	AtMostOnce              = "at most once"
+	LeavingGetsNoNewWork    = "a leaving target gets no new work"
+	PlannedStopCutsNothing  = "a planned stop cuts nothing"
+	ConfigurationIsInForce  = "accepted configuration is in force and never reverts"
+	requiredSettleTime      = 5 * time.Second
+	maximumViolationsListed = 20
+)
+
+// Verdict is one invariant's judgement.
+type Verdict struct {
+	Invariant string
+	// Checked counts what was looked at. An invariant with nothing to look at
+	// was not proved by this run.
+	Checked    int
+	Violations []string
+	// Total counts violations, also those not listed.
+	Total int
+}
+
+// Holds reports whether nothing spoke against the invariant.
+func (v *Verdict) Holds() bool { return v.Total == 0 }
+
+func (v *Verdict) violate(at int64, format string, values ...any) {
+	v.Total++
+	if len(v.Violations) < maximumViolationsListed {
+		v.Violations = append(v.Violations, fmt.Sprintf("%8.3fs ", time.Duration(at).Seconds())+fmt.Sprintf(format, values...))
+	}
+}
+
+// Check judges a history.
+func Check(events []Event) []Verdict {
+	ordered := slices.Clone(events)
+	slices.SortStableFunc(ordered, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	return []Verdict{
+		checkFeeds(ordered),
+		checkForeign(ordered),
+		checkAnswers(ordered),
+		checkNotRun(ordered),
+		checkAtMostOnce(ordered),
+		checkLeaving(ordered),
+		checkPlannedStop(ordered),
+		checkConfiguration(ordered),
+	}
+}
+
+// checkFeeds: a feed may break only if its own target crashed.
+func checkFeeds(events []Event) Verdict {
+	verdict := Verdict{Invariant: FeedsStayConnected}
+	crashed := map[string]bool{}
+	for _, event := range events {
+		switch event.Kind {
+		case FeedOpened:
+			verdict.Checked++
+		case TargetCrashed:
+			crashed[event.Target] = true
+		case FeedBroken:
+			if !crashed[event.Target] {
+				verdict.violate(event.At, "feed %s on %s broke: %s", event.Request, event.Target, event.Detail)
+			}
+		}
+	}
+	return verdict
+}
+
+func checkForeign(events []Event) Verdict {
+	verdict := Verdict{Invariant: NoForeignPackets}
+	for _, event := range events {
+		switch event.Kind {
+		case ConnectionOpened:
+			verdict.Checked++
+		case PacketForeign:
+			verdict.violate(event.At, "a packet for %s reached %s", event.Service, event.Target)
+		}
+	}
+	return verdict
+}
+
+func checkAnswers(events []Event) Verdict {
+	verdict := Verdict{Invariant: AnswersAreWhole}
+	for _, event := range events {
+		if event.Kind != CallReturned {
+			continue
+		}
+		switch event.Outcome {
+		case OutcomeAnswered:
+			verdict.Checked++
+		case OutcomeWrong:
+			verdict.Checked++
+			verdict.violate(event.At, "request %s: %s", event.Request, event.Detail)
+		}
+	}
+	return verdict
+}
+
+// checkNotRun: an attempt that was told "not run" must not have run, ever.
+// Attempts at one request are named apart, so that a later attempt's run does
+// not count against an earlier one.
+func checkNotRun(events []Event) Verdict {
+	verdict := Verdict{Invariant: NotRunIsTrue}
+	ran := map[string]string{}
+	for _, event := range events {
+		if event.Kind == RequestRun {
+			ran[event.Request+"/"+event.Detail] = event.Target
+		}
+	}
+	for _, event := range events {
+		if event.Kind != CallReturned || event.Outcome != OutcomeNotRun {
+			continue
+		}
+		verdict.Checked++
+		if target, did := ran[event.Request+"/"+event.Detail]; did {
+			verdict.violate(event.At, "request %s was said not run, but ran on %s", event.Request, target)
+		}
+	}
+	return verdict
+}
+
+func checkAtMostOnce(events []Event) Verdict {
+	verdict := Verdict{Invariant: AtMostOnce}
+	runs := map[string][]string{}
+	for _, event := range events {
+		switch event.Kind {
+		case RequestRun:
+			runs[event.Request] = append(runs[event.Request], event.Target)
+			if len(runs[event.Request]) == 2 {
+				verdict.violate(event.At, "request %s ran on %v", event.Request, runs[event.Request])
+			}
+		case CallReturned:
+			if event.Outcome == OutcomeAnswered && len(runs[event.Request]) == 0 {
+				verdict.violate(event.At, "request %s was answered but never ran", event.Request)
+			}
+		}
+	}
+	verdict.Checked = len(runs)
+	return verdict
+}
+
+// checkLeaving: from a few seconds after its drain was accepted, a target may
+// open no connection.
+func checkLeaving(events []Event) Verdict {
+	verdict := Verdict{Invariant: LeavingGetsNoNewWork}
+	drained := map[string]int64{}
+	for _, event := range events {
+		switch event.Kind {
+		case TargetDrained:
+			verdict.Checked++
+			drained[event.Target] = event.At
+		case ConnectionOpened:
+			if since, leaving := drained[event.Target]; leaving && event.At > since+int64(requiredSettleTime) {
+				verdict.violate(event.At, "%s took a new connection %.1f s after its drain", event.Target, time.Duration(event.At-since).Seconds())
+			}
+		}
+	}
+	return verdict
+}
+
+// checkPlannedStop: a drained target finishes every request it began.
+func checkPlannedStop(events []Event) Verdict {
+	verdict := Verdict{Invariant: PlannedStopCutsNothing}
+	drained := map[string]bool{}
+	for _, event := range events {
+		switch event.Kind {
+		case TargetDrained:
+			drained[event.Target] = true
+			verdict.Checked++
+		case RequestCut:
+			if drained[event.Target] {
+				verdict.violate(event.At, "%s cut request %s: %s", event.Target, event.Request, event.Detail)
+			}
+		}
+	}
+	return verdict
+}
+
+// checkConfiguration: each accepted revision is in force, within the settle
+// time, on every daemon that lives and can be reached all the while; and no
+// daemon's revision falls.
+func checkConfiguration(events []Event) Verdict {
+	verdict := Verdict{Invariant: ConfigurationIsInForce}
+	daemons := map[string]*daemonHistory{}
+	end := int64(0)
+	for _, event := range events {
+		end = max(end, event.At)
+		daemon := daemons[event.Daemon]
+		if event.Daemon != "" && daemon == nil {
+			daemon = &daemonHistory{}
+			daemons[event.Daemon] = daemon
+		}
+		switch event.Kind {
+		case DaemonStarted:
+			*daemon = daemonHistory{started: event.At, disturbed: event.At}
+		case DaemonStopped:
+			daemon.stopped = event.At
+		case DaemonsCut:
+			daemon.cut = true
+		case DaemonsJoined:
+			daemon.cut = false
+			daemon.disturbed = event.At
+		case ConfigurationApplied:
+			if event.Revision < daemon.highest() {
+				verdict.violate(event.At, "%s fell from revision %d to %d", event.Daemon, daemon.highest(), event.Revision)
+			}
+			daemon.applied = append(daemon.applied, event)
+		}
+	}
+	for _, event := range events {
+		if event.Kind != ConfigurationAccepted || event.At+int64(requiredSettleTime) > end {
+			continue
+		}
+		verdict.Checked++
+		for _, name := range slices.Sorted(maps.Keys(daemons)) {
+			if lag, late := daemons[name].lagOf(event); late {
+				verdict.violate(event.At, "revision %d was not in force on %s %.1f s later", event.Revision, name, lag.Seconds())
+			}
+		}
+	}
+	return verdict
+}
+
+type daemonHistory struct {
+	started   int64
+	stopped   int64
+	disturbed int64
+	cut       bool
+	applied   []Event
+}
+
+func (d *daemonHistory) highest() uint64 {
+	if len(d.applied) == 0 {
+		return 0
+	}
+	return d.applied[len(d.applied)-1].Revision
+}
+
+// lagOf reports whether an accepted revision came too late to this daemon. Time
+// counts from when the daemon was there and could be reached.
+func (d *daemonHistory) lagOf(accepted Event) (time.Duration, bool) {
+	from := max(accepted.At, d.started, d.disturbed)
+	deadline := from + int64(requiredSettleTime)
+	if d.cut || (d.stopped != 0 && d.stopped < deadline) {
+		return 0, false
+	}
+	for _, event := range d.applied {
+		if event.Revision >= accepted.Revision {
+			return time.Duration(event.At - from), event.At > deadline
+		}
+	}
+	return requiredSettleTime, true
+}
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -65,11 +65,3 @@
 	// Joined names a member through which the whole list can be fetched.
 	Joined []identity.Identity
 }
-
-func (o *Output) add(other Output) {
-	o.Datagrams = append(o.Datagrams, other.Datagrams...)
-	o.Changed = o.Changed || other.Changed
-	o.Digests = append(o.Digests, other.Digests...)
-	o.Broadcasts = append(o.Broadcasts, other.Broadcasts...)
-	o.Joined = append(o.Joined, other.Joined...)
-}
--- /dev/null
+++ b/internal/node/dataplane_backend.go
@@ -0,0 +1,145 @@
+package node
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/passtray/passtray/internal/encapsulation"
+	"github.com/passtray/passtray/internal/forwarding"
+	"github.com/passtray/passtray/internal/steering"
+)
+
+// backendHandler takes what targets and other daemons send.
+type backendHandler struct{ *dataPlane }
+
+// Handle takes a target's reply, or a packet another daemon hands over.
+func (h backendHandler) Handle(worker *forwarding.Worker, inbound *forwarding.Inbound) {
+	memory := worker.Context.(*workerContext)
+	offset, err := encapsulation.Parse(inbound.Datagram(), &memory.header)
+	if err != nil {
+		h.drop(steering.ReasonMalformed)
+		return
+	}
+	offset += forwarding.Headroom
+	switch memory.header.Kind {
+	case encapsulation.KindFromTarget:
+		h.fromTarget(worker, inbound, offset)
+	case encapsulation.KindToOwner:
+		if !h.snapshot.Load().IsPeer(inbound.Source) {
+			h.drop(steering.ReasonForeignSource)
+			return
+		}
+		h.steer(worker, inbound, offset, true)
+	case encapsulation.KindToIngress:
+		if !h.snapshot.Load().IsPeer(inbound.Source) {
+			h.drop(steering.ReasonForeignSource)
+			return
+		}
+		h.toCaller(worker, inbound, offset)
+	default:
+		h.drop(steering.ReasonNotOurs)
+	}
+}
+
+// fromTarget takes in the target's report and passes the payload on. The
+// sender must be the target it says it is.
+func (h backendHandler) fromTarget(worker *forwarding.Worker, inbound *forwarding.Inbound, offset int) {
+	memory := worker.Context.(*workerContext)
+	header := &memory.header
+	target := h.snapshot.Load().Target(header.TargetNumber)
+	if target == nil {
+		h.drop(steering.ReasonTargetGone)
+		return
+	}
+	if target.Address != inbound.Source || uint32(target.Service.Number) != header.ServiceNumber {
+		h.drop(steering.ReasonForeignSource)
+		return
+	}
+	now := time.Now()
+	target.Signal.Observe(now, &header.Report)
+	if offset == len(inbound.Buffer) {
+		return // A probe's answer: the report was all.
+	}
+	if target.Service.Address != header.Service {
+		h.drop(steering.ReasonForeignService)
+		return
+	}
+	if _, first := h.pins.MarkAnswered(now, header.ServiceNumber, header.Caller, header.TargetNumber); first {
+		target.Signal.NoteAnswered()
+	}
+	if header.Ingress.IsValid() && header.Ingress != h.self {
+		h.relay(worker, inbound, offset)
+		return
+	}
+	h.toCaller(worker, inbound, offset)
+}
+
+// relay passes a reply to the daemon whose address the caller knows.
+func (h backendHandler) relay(worker *forwarding.Worker, inbound *forwarding.Inbound, offset int) {
+	memory := worker.Context.(*workerContext)
+	ingress := memory.header.Ingress
+	if !h.snapshot.Load().IsPeer(ingress) {
+		h.drop(steering.ReasonForeignSource)
+		return
+	}
+	h.counters.relayed.Add(1)
+	memory.header.Kind = encapsulation.KindToIngress
+	memory.header.Names = nil
+	h.send(worker, inbound, offset, &memory.header, ingress)
+}
+
+// toCaller sends a payload to its caller: from the socket the caller used, or
+// through the fabric.
+func (d *dataPlane) toCaller(worker *forwarding.Worker, inbound *forwarding.Inbound, offset int) {
+	memory := worker.Context.(*workerContext)
+	header := &memory.header
+	d.counters.returned.Add(1)
+	if socket := d.direct[header.Service]; socket != nil && header.Ingress.IsValid() {
+		worker.Send(socket, header.Caller, inbound.Buffer[offset:])
+		return
+	}
+	if d.egress == nil {
+		d.drop(steering.ReasonUnknownService)
+		return
+	}
+	memory.reply = encapsulation.Header{Kind: encapsulation.KindFabric, Caller: header.Caller, Service: header.Service}
+	datagram, fits := forwarding.Rewrite(inbound, offset, &memory.reply, memory.encode[:])
+	if !fits {
+		d.drop(steering.ReasonOversized)
+		return
+	}
+	worker.Send(d.egress, d.fabricEgress, datagram)
+}
+
+// sendRefusal carries a refusal made here to its caller. It runs outside the
+// workers, so it writes by itself.
+func (d *dataPlane) sendRefusal(service, caller, ingress netip.AddrPort, datagram []byte) {
+	if ingress == d.self {
+		if socket := d.direct[service]; socket != nil {
+			writeOne(socket, caller, datagram)
+		}
+		return
+	}
+	header := encapsulation.Header{Kind: encapsulation.KindFabric, Caller: caller, Service: service}
+	socket, to := d.egress, d.fabricEgress
+	if ingress.IsValid() {
+		header.Kind = encapsulation.KindToIngress
+		header.Ingress = ingress
+		socket, to = d.backend, ingress
+	}
+	if socket == nil {
+		return
+	}
+	writeOne(socket, to, append(encapsulation.Append(nil, &header), datagram...))
+}
+
+// probe asks a target for its report with a datagram without a payload.
+func (d *dataPlane) probe(snapshot *steering.Snapshot, target *steering.Target) {
+	d.counters.probes.Add(1)
+	header := encapsulation.Header{
+		Kind: encapsulation.KindToTarget, Caller: d.self, Service: target.Service.Address,
+		ServiceNumber: uint32(target.Service.Number), TargetNumber: uint32(target.Number),
+		Revision: snapshot.Revision, Names: target.Names,
+	}
+	writeOne(d.backend, target.Address, encapsulation.Append(nil, &header))
+}
--- /dev/null
+++ b/internal/ownership/owner.go
@@ -0,0 +1,100 @@
+// Package ownership says which daemon decides for a flow that carries no
+// routable connection ID yet, and remembers what was decided for as long as the
+// flow needs it. It does no I/O and holds no clock.
+package ownership
+
+import (
+	"encoding/binary"
+	"math"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// FlowKey names a flow: for QUIC the client-chosen first connection ID, for
+// plain UDP the caller's address. The caller is part of the key, so that nobody
+// can meet another caller's pin by a hash collision.
+type FlowKey struct {
+	Service uint32
+	Hash    uint64
+	Caller  netip.AddrPort
+}
+
+// KeyOfID returns the key of a QUIC flow whose client chose this connection ID.
+func KeyOfID(service uint32, caller netip.AddrPort, id []byte) FlowKey {
+	return FlowKey{Service: service, Hash: mix(xxhash.Sum64(id) ^ uint64(service)), Caller: caller}
+}
+
+// KeyOfCaller returns the key of a plain UDP flow.
+func KeyOfCaller(service uint32, caller netip.AddrPort) FlowKey {
+	var buffer [18]byte
+	address := caller.Addr().As16()
+	copy(buffer[:], address[:])
+	binary.BigEndian.PutUint16(buffer[16:], caller.Port())
+	return FlowKey{Service: service, Hash: mix(xxhash.Sum64(buffer[:]) ^ uint64(service)), Caller: caller}
+}
+
+// mix is the finalizer of MurmurHash3: every input bit changes every output bit
+// with probability one half.
+func mix(value uint64) uint64 {
+	value ^= value >> 33
+	value *= 0xff51afd7ed558ccd
+	value ^= value >> 33
+	value *= 0xc4ceb9fe1a85ec53
+	return value ^ value>>33
+}
+
+// Node is one choice of a rendezvous hash.
+type Node struct {
+	// Seed identifies the node; the same on every daemon.
+	Seed uint64
+	// Weight is its share, above 0.
+	Weight float64
+}
+
+// SeedOf hashes a node's name to its seed.
+func SeedOf(name []byte) uint64 { return xxhash.Sum64(name) }
+
+// Rendezvous returns the index of the node with the highest score for the hash,
+// -1 without nodes (Thaler and Ravishankar, "Using Name-Based Mappings to
+// Increase Hit Rates", 1998; weights after Schindelhauer and Schomaker, 2005).
+// When a node comes or goes, only the flows it wins or had won move.
+func Rendezvous(hash uint64, nodes []Node) int {
+	best, bestScore := -1, math.Inf(-1)
+	for index := range nodes {
+		if score := rendezvousScore(hash, &nodes[index]); score > bestScore {
+			best, bestScore = index, score
+		}
+	}
+	return best
+}
+
+// RendezvousSecond returns the index of the second highest, the one that takes
+// over if the first goes, -1 with fewer than two nodes.
+func RendezvousSecond(hash uint64, nodes []Node) int {
+	first := Rendezvous(hash, nodes)
+	second, secondScore := -1, math.Inf(-1)
+	for index := range nodes {
+		if score := rendezvousScore(hash, &nodes[index]); index != first && score > secondScore {
+			second, secondScore = index, score
+		}
+	}
+	return second
+}
+
+func rendezvousScore(hash uint64, node *Node) float64 {
+	uniform := (float64(mix(hash^node.Seed)>>11) + 0.5) / (1 << 53)
+	return -node.Weight / math.Log(uniform)
+}
+
+// Rank returns how many nodes score higher for the hash than the one at index.
+func Rank(hash uint64, nodes []Node, index int) int {
+	own := rendezvousScore(hash, &nodes[index])
+	rank := 0
+	for other := range nodes {
+		if rendezvousScore(hash, &nodes[other]) > own {
+			rank++
+		}
+	}
+	return rank
+}
--- /dev/null
+++ b/internal/steering/decide.go
@@ -0,0 +1,133 @@
+package steering
+
+import (
+	"net/netip"
+
+	"github.com/passtray/passtray/internal/catalog"
+	"github.com/passtray/passtray/internal/connectionid"
+	"github.com/passtray/passtray/internal/ownership"
+)
+
+// Action is what is to be done with a packet.
+type Action uint8
+
+// The actions.
+const (
+	// Drop: Reason says why.
+	Drop Action = iota
+	// Forward: to Target.
+	Forward
+	// HandOver: to the flow's owner at Owner.
+	HandOver
+	// Decide: this daemon owns the flow Key and picks the target.
+	Decide
+)
+
+// Reason says why a packet was dropped. Its value is a metric's label.
+type Reason uint8
+
+// The reasons.
+const (
+	ReasonNone Reason = iota
+	ReasonMalformed
+	ReasonUnknownService
+	ReasonUnroutable
+	ReasonForeignService
+	ReasonTargetGone
+	ReasonShortInitial
+	ReasonNoOwner
+	ReasonForeignSource
+	ReasonNoTarget
+	ReasonAdmission
+	ReasonOversized
+	ReasonNotOurs
+
+	// ReasonCount is the number of reasons.
+	ReasonCount
+)
+
+var reasonNames = [ReasonCount]string{
+	"none", "malformed", "unknown_service", "unroutable", "foreign_service", "target_gone", "short_initial",
+	"no_owner", "foreign_source", "no_target", "admission", "oversized", "not_ours",
+}
+
+// String returns the reason's metric label.
+func (r Reason) String() string { return reasonNames[r] }
+
+// Packet is one packet from a caller.
+type Packet struct {
+	Service netip.AddrPort
+	Caller  netip.AddrPort
+	Payload []byte
+}
+
+// Decision is where a packet goes.
+type Decision struct {
+	Action  Action
+	Reason  Reason
+	Service *Service
+	Target  *Target
+	Owner   *Daemon
+	Key     ownership.FlowKey
+	// IsFirstFlight marks a packet that carries no routable ID.
+	IsFirstFlight bool
+}
+
+// Decide returns where a packet goes. isOwner says that another daemon has
+// handed the packet over: it is decided here whatever this daemon's own view of
+// the members, or two daemons that differ would pass it to and fro.
+func (s *Snapshot) Decide(packet *Packet, isOwner bool, scratch *connectionid.Scratch) Decision {
+	service := s.services[packet.Service]
+	if service == nil {
+		return Decision{Reason: ReasonUnknownService}
+	}
+	if service.Protocol == catalog.ProtocolUDP {
+		return s.own(service, ownership.KeyOfCaller(uint32(service.Number), packet.Caller), isOwner)
+	}
+	var header quicHeader
+	if !parseQUIC(packet.Payload, connectionid.Length, &header) {
+		return Decision{Reason: ReasonMalformed, Service: service}
+	}
+	if route, routable := s.Keyring.Decode(header.destinationID, scratch); routable {
+		return s.follow(service, route)
+	}
+	if !header.mayStartFlow() {
+		return Decision{Reason: ReasonUnroutable, Service: service}
+	}
+	if header.needsFullSize() && len(packet.Payload) < minimumInitialBytes {
+		return Decision{Reason: ReasonShortInitial, Service: service}
+	}
+	return s.own(service, ownership.KeyOfID(uint32(service.Number), packet.Caller, header.destinationID), isOwner)
+}
+
+// follow sends a packet where its connection ID says, provided that the target
+// stands behind the service the caller addressed.
+func (s *Snapshot) follow(service *Service, route connectionid.Route) Decision {
+	if route.Service != uint32(service.Number) {
+		return Decision{Reason: ReasonForeignService, Service: service}
+	}
+	target := s.targets[route.Target]
+	if target == nil {
+		return Decision{Reason: ReasonTargetGone, Service: service}
+	}
+	if target.Service != service {
+		return Decision{Reason: ReasonForeignService, Service: service}
+	}
+	return Decision{Action: Forward, Service: service, Target: target}
+}
+
+func (s *Snapshot) own(service *Service, key ownership.FlowKey, isOwner bool) Decision {
+	decision := Decision{Action: Decide, Service: service, Key: key, IsFirstFlight: true}
+	if isOwner {
+		return decision
+	}
+	owner := s.Owner(key)
+	if owner == nil {
+		return Decision{Reason: ReasonNoOwner, Service: service}
+	}
+	if !owner.IsSelf {
+		decision.Action = HandOver
+		decision.Owner = owner
+	}
+	return decision
+}
--- /dev/null
+++ b/internal/steering/snapshot.go
@@ -0,0 +1,218 @@
+// Package steering decides where one packet goes. It is pure: a decision
+// depends on the packet and an immutable snapshot of what this daemon believes,
+// and on a packet of an established flow it allocates nothing.
+package steering
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/passtray/passtray/internal/balance"
+	"github.com/passtray/passtray/internal/catalog"
+	"github.com/passtray/passtray/internal/connectionid"
+	"github.com/passtray/passtray/internal/membership"
+	"github.com/passtray/passtray/internal/ownership"
+)
+
+// Target is one target that packets may still go to.
+type Target struct {
+	Number  catalog.TargetNumber
+	Service *Service
+	Name    string
+	Address netip.AddrPort
+	// Names is "service/target", by which a target recognises itself.
+	Names  []byte
+	Signal *balance.Signal
+}
+
+// Service is one service that is not retired.
+type Service struct {
+	Number   catalog.ServiceNumber
+	Name     string
+	Address  netip.AddrPort
+	Protocol catalog.Protocol
+	Priority catalog.Priority
+	Limits   catalog.Limits
+	// Targets and Candidates are the active targets, side by side.
+	Targets    []*Target
+	Candidates []balance.Candidate
+	// Nodes are the same targets for a rendezvous hash.
+	Nodes []ownership.Node
+}
+
+// Daemon is one daemon that may own flows.
+type Daemon struct {
+	Address netip.AddrPort
+	IsSelf  bool
+}
+
+// Snapshot is what a daemon believes at one moment. It is immutable.
+type Snapshot struct {
+	Revision uint64
+	Zone     string
+	Keyring  *connectionid.Keyring
+
+	// leaseEnds is until when the configuration is confirmed, in Unix
+	// nanoseconds. It is the one part that moves: it is renewed far more often
+	// than the rest changes.
+	leaseEnds *atomic.Int64
+
+	services map[netip.AddrPort]*Service
+	targets  map[uint32]*Target
+	daemons  []Daemon
+	nodes    []ownership.Node
+	peers    map[netip.AddrPort]bool
+}
+
+// Signals keeps one signal and the time of first sight for every target through
+// changes of configuration. It is used by one goroutine only.
+type Signals struct {
+	byNumber map[catalog.TargetNumber]*knownTarget
+	warm     bool
+}
+
+type knownTarget struct {
+	signal *balance.Signal
+	since  time.Time
+}
+
+// NewSignals makes an empty set.
+func NewSignals() *Signals { return &Signals{byNumber: map[catalog.TargetNumber]*knownTarget{}} }
+
+// get returns a target's signal. Targets of the first configuration a daemon
+// sees were there before it, so they are not cold.
+func (s *Signals) get(number catalog.TargetNumber, now time.Time) *knownTarget {
+	known := s.byNumber[number]
+	if known == nil {
+		known = &knownTarget{signal: &balance.Signal{}}
+		if s.warm {
+			known.since = now
+		}
+		s.byNumber[number] = known
+	}
+	return known
+}
+
+func (s *Signals) forgetRetired(state *catalog.State) {
+	for _, target := range state.Targets {
+		if target.State == catalog.TargetRetired {
+			delete(s.byNumber, target.Number)
+		}
+	}
+}
+
+// Build makes a snapshot of a configuration and a member list.
+func Build(now time.Time, state *catalog.State, live []membership.Member, self membership.Member, keyring *connectionid.Keyring, leaseEnds *atomic.Int64, signals *Signals) *Snapshot {
+	snapshot := &Snapshot{
+		Revision:  state.Revision,
+		Zone:      self.Zone,
+		Keyring:   keyring,
+		leaseEnds: leaseEnds,
+		services:  map[netip.AddrPort]*Service{},
+		targets:   map[uint32]*Target{},
+		peers:     map[netip.AddrPort]bool{},
+	}
+	byNumber := snapshot.addServices(state)
+	snapshot.addTargets(now, state, byNumber, signals)
+	snapshot.addDaemons(live, self)
+	signals.forgetRetired(state)
+	signals.warm = signals.warm || state.Revision > 0
+	return snapshot
+}
+
+func (s *Snapshot) addServices(state *catalog.State) map[catalog.ServiceNumber]*Service {
+	byNumber := map[catalog.ServiceNumber]*Service{}
+	for _, declared := range state.Services {
+		if declared.Retired {
+			continue
+		}
+		service := &Service{
+			Number: declared.Number, Name: declared.Name, Address: declared.Address,
+			Protocol: declared.Protocol, Priority: declared.Priority, Limits: declared.Limits,
+		}
+		byNumber[declared.Number] = service
+		s.services[declared.Address] = service
+	}
+	return byNumber
+}
+
+func (s *Snapshot) addTargets(now time.Time, state *catalog.State, byNumber map[catalog.ServiceNumber]*Service, signals *Signals) {
+	for _, declared := range state.Targets {
+		service := byNumber[declared.Service]
+		if service == nil || declared.State == catalog.TargetRetired {
+			continue
+		}
+		known := signals.get(declared.Number, now)
+		target := &Target{
+			Number: declared.Number, Service: service, Name: declared.Name, Address: declared.Address,
+			Names: []byte(service.Name + "/" + declared.Name), Signal: known.signal,
+		}
+		s.targets[uint32(declared.Number)] = target
+		if declared.State != catalog.TargetActive || declared.Weight == 0 {
+			continue
+		}
+		service.Targets = append(service.Targets, target)
+		service.Candidates = append(service.Candidates, balance.Candidate{
+			Signal: known.signal, Weight: declared.Weight, Cap: service.Limits.ConnectionsPerTarget,
+			Zone: declared.Zone, Since: known.since,
+		})
+		service.Nodes = append(service.Nodes, ownership.Node{
+			Seed: ownership.SeedOf(target.Names), Weight: float64(declared.Weight),
+		})
+	}
+}
+
+func (s *Snapshot) addDaemons(live []membership.Member, self membership.Member) {
+	for _, member := range live {
+		isSelf := member.Identity == self.Identity
+		s.daemons = append(s.daemons, Daemon{Address: member.DataAddress, IsSelf: isSelf})
+		s.nodes = append(s.nodes, ownership.Node{Seed: ownership.SeedOf([]byte(member.DataAddress.String())), Weight: 1})
+		if !isSelf {
+			s.peers[member.DataAddress] = true
+		}
+	}
+}
+
+// LeaseEnds returns until when the configuration is confirmed.
+func (s *Snapshot) LeaseEnds() time.Time { return time.Unix(0, s.leaseEnds.Load()) }
+
+// Daemons returns the live daemons. The slice must not be changed.
+func (s *Snapshot) Daemons() []Daemon { return s.daemons }
+
+// Service returns the service at an address, nil if there is none.
+func (s *Snapshot) Service(address netip.AddrPort) *Service { return s.services[address] }
+
+// Services returns all services by address. The map must not be changed.
+func (s *Snapshot) Services() map[netip.AddrPort]*Service { return s.services }
+
+// Target returns a target by number, nil if it is retired or unknown.
+func (s *Snapshot) Target(number uint32) *Target { return s.targets[number] }
+
+// IsPeer reports whether an address is a live daemon's data address.
+func (s *Snapshot) IsPeer(address netip.AddrPort) bool { return s.peers[address] }
+
+// Owner returns the daemon that owns a flow, nil if no daemon is known.
+func (s *Snapshot) Owner(key ownership.FlowKey) *Daemon {
+	index := ownership.Rendezvous(key.Hash, s.nodes)
+	if index < 0 {
+		return nil
+	}
+	return &s.daemons[index]
+}
+
+// Watches reports whether this daemon is among the first few by rendezvous for
+// a target, those that ask it for its report.
+func (s *Snapshot) Watches(target *Target, watchers int) bool {
+	hash := ownership.SeedOf(target.Names)
+	own := -1
+	for index := range s.daemons {
+		if s.daemons[index].IsSelf {
+			own = index
+		}
+	}
+	if own < 0 {
+		return false
+	}
+	return ownership.Rank(hash, s.nodes, own) < watchers
+}
