Lab: a deployment in one command, judged by its history

Cause: the whole path must run before anything is deepened.

Change: stand-ins of fabric, platform, targets and callers; faults at stated times; HDR latencies, imbalance and verdicts as table, JSON and page.

--- a/backend/packetconn.go
+++ b/backend/packetconn.go
@@ -63,6 +63,12 @@
 	return connection, nil
 }
 
+// SetReadBuffer and SetWriteBuffer have nothing to do: the socket has its size.
+func (c *PacketConn) SetReadBuffer(int) error { return nil }
+
+// SetWriteBuffer does nothing.
+func (c *PacketConn) SetWriteBuffer(int) error { return nil }
+
 func (c *PacketConn) reloadKeyring() error {
 	keyring, err := connectionid.LoadKeyring(c.config.KeyringPath)
 	if err != nil {
--- a/internal/admission/refuser.go
+++ b/internal/admission/refuser.go
@@ -60,8 +60,9 @@
 // Close ends the refuser.
 func (r *Refuser) Close() {
 	_ = r.listener.Close()
-	_ = r.transport.Close()
+	// The transport waits for its reader, which only the connection can wake.
 	_ = r.connection.Close()
+	_ = r.transport.Close()
 }
 
 const (
@@ -148,6 +149,12 @@
 	return &net.UDPAddr{IP: net.IPv4(192, 0, 2, 0), Port: 1}
 }
 
+// SetReadBuffer and SetWriteBuffer have nothing to do.
+func (c *virtualConnection) SetReadBuffer(int) error { return nil }
+
+// SetWriteBuffer does nothing.
+func (c *virtualConnection) SetWriteBuffer(int) error { return nil }
+
 // SetDeadline and its kin have nothing to do: reads end with Close.
 func (c *virtualConnection) SetDeadline(time.Time) error { return nil }
 
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -82,13 +82,13 @@
 	replica *consensus.Replica
 	store   *dissemination.Store
 
-	formation   formation
-	spread      spread
-	lease       lease
-	proposals   proposals
-	statuses    map[uint64]*pendingStatus
-	nextSync    time.Time
-	wasLeader   bool
+	formation formation
+	spread    spread
+	lease     lease
+	proposals proposals
+	statuses  map[uint64]*pendingStatus
+	nextSync  time.Time
+	wasLeader bool
 
 	output Output
 }
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -13,9 +13,9 @@
 
 // submission is a change one of this daemon's operators waits for.
 type submission struct {
-	change    catalog.Change
-	deadline  time.Time
-	nextSend  time.Time
+	change   catalog.Change
+	deadline time.Time
+	nextSend time.Time
 }
 
 // inFlight is a change this daemon, as leader, has put into the log.
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -182,7 +182,9 @@
 
 // wholeBuffer returns the buffer with its headroom, which stands behind the
 // slice's visible end.
-func wholeBuffer(message *ipv4.Message) []byte { return message.Buffers[:2][1][:Headroom+MaximumDatagram] }
+func wholeBuffer(message *ipv4.Message) []byte {
+	return message.Buffers[:2][1][:Headroom+MaximumDatagram]
+}
 
 // Group runs workers.
 type Group struct {
--- /dev/null
+++ b/internal/lab/report/collector.go
@@ -0,0 +1,160 @@
+// Package report gathers a run's measurements and prints them: a table for a
+// person, JSON for scripts, a page with plots.
+package report
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/passtray/passtray/internal/lab/history"
+)
+
+// TargetLoad is one target's load at one moment.
+type TargetLoad struct {
+	Target      string
+	Connections int
+	Busy        int
+	Accepted    uint64
+}
+
+// Imbalance says how unevenly something is spread over targets.
+type Imbalance struct {
+	// MaximumToMean is the busiest target's share over the mean; 1 is even.
+	MaximumToMean float64 `json:"max_to_mean"`
+	// Variation is the standard deviation over the mean; 0 is even.
+	Variation float64 `json:"coefficient_of_variation"`
+}
+
+// sample is the imbalance of one service at one moment.
+type sample struct {
+	at          time.Duration
+	connections Imbalance
+	busy        Imbalance
+}
+
+// Collector gathers measurements. It is safe for concurrent use.
+type Collector struct {
+	mutex     sync.Mutex
+	mode      string
+	seed      uint64
+	latencies map[latencyKey]*hdrhistogram.Histogram
+	samples   map[string][]sample
+	last      map[string][]TargetLoad
+	rates     []float64
+	actions   map[string]uint64
+	drops     map[string]uint64
+}
+
+type latencyKey struct {
+	service string
+	class   string
+}
+
+const (
+	lowestLatency  = 1           // microseconds
+	highestLatency = 120_000_000 // microseconds
+	latencyDigits  = 3
+	minimumMean    = 0.5 // below it a ratio to the mean says nothing
+)
+
+// NewCollector makes a collector.
+func NewCollector(mode string, seed uint64) *Collector {
+	return &Collector{
+		mode: mode, seed: seed,
+		latencies: map[latencyKey]*hdrhistogram.Histogram{}, samples: map[string][]sample{},
+		last: map[string][]TargetLoad{}, actions: map[string]uint64{}, drops: map[string]uint64{},
+	}
+}
+
+// Latency records how long something took.
+func (c *Collector) Latency(service, class string, took time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	key := latencyKey{service, class}
+	histogram := c.latencies[key]
+	if histogram == nil {
+		histogram = hdrhistogram.New(lowestLatency, highestLatency, latencyDigits)
+		c.latencies[key] = histogram
+	}
+	// Longer than the longest is recorded as the longest.
+	_ = histogram.RecordValue(min(took.Microseconds(), highestLatency))
+}
+
+// Load records the loads of one service's targets.
+func (c *Collector) Load(at time.Duration, service string, loads []TargetLoad) {
+	connections := make([]float64, 0, len(loads))
+	busy := make([]float64, 0, len(loads))
+	for _, load := range loads {
+		connections = append(connections, float64(load.Connections))
+		busy = append(busy, float64(load.Busy))
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.last[service] = loads
+	c.samples[service] = append(c.samples[service], sample{at: at, connections: imbalanceOf(connections), busy: imbalanceOf(busy)})
+}
+
+func imbalanceOf(values []float64) Imbalance {
+	total, highest := 0.0, 0.0
+	for _, value := range values {
+		total += value
+		highest = max(highest, value)
+	}
+	mean := total / float64(max(1, len(values)))
+	if mean < minimumMean {
+		return Imbalance{}
+	}
+	squares := 0.0
+	for _, value := range values {
+		squares += (value - mean) * (value - mean)
+	}
+	return Imbalance{MaximumToMean: highest / mean, Variation: math.Sqrt(squares/float64(len(values))) / mean}
+}
+
+// ControlRate records one daemon's control traffic in bytes a second.
+func (c *Collector) ControlRate(bytesPerSecond float64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.rates = append(c.rates, bytesPerSecond)
+}
+
+// Daemon adds one daemon's counters.
+func (c *Collector) Daemon(_ string, actions, drops map[string]uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for name, count := range actions {
+		c.actions[name] += count
+	}
+	for name, count := range drops {
+		c.drops[name] += count
+	}
+}
+
+// Totals are what the run itself counted.
+type Totals struct {
+	Span        time.Duration
+	Processor   time.Duration
+	Dials       uint64
+	FailedDials uint64
+}
+
+// Finish judges the history and makes the report.
+func (c *Collector) Finish(totals Totals, events []history.Event) *Report {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	made := &Report{
+		Mode: c.mode, Seed: c.seed, Seconds: totals.Span.Seconds(),
+		Dials: totals.Dials, FailedDials: totals.FailedDials,
+		ProcessCPUSeconds: totals.Processor.Seconds(),
+		Actions:           c.actions, Drops: c.drops,
+		Verdicts: history.Check(events), samples: c.samples, lastLoads: c.last,
+	}
+	made.countEvents(events)
+	made.addLatencies(c.latencies)
+	made.addImbalance(c.samples)
+	made.addControl(c.rates)
+	return made
+}
--- /dev/null
+++ b/internal/lab/report/page.go
@@ -0,0 +1,130 @@
+package report
+
+import (
+	"bytes"
+	"encoding/base64"
+	"html/template"
+	"maps"
+	"os"
+	"slices"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 8 * vg.Inch
+	plotHeight = 3.5 * vg.Inch
+)
+
+var page = template.Must(template.New("report").Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>passtray lab report</title>
+<style>body{font-family:sans-serif;max-width:60em;margin:2em auto}pre{background:#f4f4f4;padding:1em;overflow:auto}</style>
+</head><body><h1>passtray lab report</h1>
+<pre>{{.Table}}</pre>
+{{range .Plots}}<h2>{{.Title}}</h2><img alt="{{.Title}}" src="{{.Source}}">{{end}}
+</body></html>
+`))
+
+type pagePlot struct {
+	Title  string
+	Source template.URL
+}
+
+// WriteHTML writes a page with the table and plots.
+func (r *Report) WriteHTML(path string) error {
+	var table bytes.Buffer
+	if err := r.WriteTable(&table); err != nil {
+		return eris.Wrap(err, "report")
+	}
+	content := struct {
+		Table string
+		Plots []pagePlot
+	}{Table: table.String()}
+	for _, build := range []func() (string, *plot.Plot, error){r.plotImbalance, r.plotLoads} {
+		title, drawn, err := build()
+		if err != nil {
+			return eris.Wrap(err, "plot")
+		}
+		source, err := embed(drawn)
+		if err != nil {
+			return err
+		}
+		content.Plots = append(content.Plots, pagePlot{Title: title, Source: source})
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return eris.Wrap(err, "report")
+	}
+	defer func() { _ = file.Close() }()
+	if err := page.Execute(file, content); err != nil {
+		return eris.Wrap(err, "report")
+	}
+	return eris.Wrap(file.Close(), "report")
+}
+
+func (r *Report) plotImbalance() (string, *plot.Plot, error) {
+	drawn := plot.New()
+	drawn.X.Label.Text = "seconds"
+	drawn.Y.Label.Text = "busiest target / mean"
+	drawn.Legend.Top = true
+	for index, service := range slices.Sorted(maps.Keys(r.samples)) {
+		points := plotter.XYs{}
+		for _, one := range r.samples[service] {
+			if one.connections.MaximumToMean > 0 {
+				points = append(points, plotter.XY{X: one.at.Seconds(), Y: one.connections.MaximumToMean})
+			}
+		}
+		if len(points) == 0 {
+			continue
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return "", nil, err
+		}
+		line.Color = plotutil.Color(index)
+		drawn.Add(line)
+		drawn.Legend.Add(service, line)
+	}
+	return "Imbalance of connections over time", drawn, nil
+}
+
+func (r *Report) plotLoads() (string, *plot.Plot, error) {
+	drawn := plot.New()
+	drawn.Y.Label.Text = "connections accepted"
+	var values plotter.Values
+	var names []string
+	for _, service := range slices.Sorted(maps.Keys(r.lastLoads)) {
+		for _, load := range r.lastLoads[service] {
+			values = append(values, float64(load.Accepted))
+			names = append(names, load.Target)
+		}
+	}
+	if len(values) == 0 {
+		return "Connections accepted by target", drawn, nil
+	}
+	bars, err := plotter.NewBarChart(values, vg.Points(8))
+	if err != nil {
+		return "", nil, err
+	}
+	drawn.Add(bars)
+	drawn.NominalX(names...)
+	drawn.X.Tick.Label.Rotation = 1.2
+	drawn.X.Tick.Label.XAlign = -1
+	return "Connections accepted by target", drawn, nil
+}
+
+func embed(drawn *plot.Plot) (template.URL, error) {
+	writer, err := drawn.WriterTo(plotWidth, plotHeight, "png")
+	if err != nil {
+		return "", eris.Wrap(err, "plot")
+	}
+	var encoded bytes.Buffer
+	if _, err := writer.WriteTo(&encoded); err != nil {
+		return "", eris.Wrap(err, "plot")
+	}
+	return template.URL("data:image/png;base64," + base64.StdEncoding.EncodeToString(encoded.Bytes())), nil
+}
--- /dev/null
+++ b/internal/lab/run.go
@@ -0,0 +1,235 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+
+	"github.com/passtray/passtray/internal/lab/history"
+	"github.com/passtray/passtray/internal/lab/report"
+	"github.com/passtray/passtray/internal/lab/workload"
+)
+
+const (
+	formationTimeout = 30 * time.Second
+	sampleInterval   = 250 * time.Millisecond
+	progressInterval = 2 * time.Second
+	// settle is the time after the callers for what is under way.
+	settle = 2 * time.Second
+)
+
+// Options are what a run is asked for besides the scenario.
+type Options struct {
+	Logger   logr.Logger
+	Progress io.Writer
+	// HistoryPath, if set, is where the history is stored.
+	HistoryPath string
+}
+
+// Run plays a scenario and reports.
+func Run(ctx context.Context, scenario *Scenario, options Options) (*report.Report, error) {
+	events := history.NewLog()
+	built, err := newCluster(scenario, options.Logger, events)
+	if err != nil {
+		return nil, err
+	}
+	defer built.close()
+	run := &run{cluster: built, options: options, collector: report.NewCollector(string(scenario.Mode), scenario.Seed)}
+	if err := run.prepare(ctx); err != nil {
+		return nil, err
+	}
+	if err := run.play(ctx); err != nil {
+		return nil, err
+	}
+	return run.finish(ctx)
+}
+
+type run struct {
+	*cluster
+	options   Options
+	collector *report.Collector
+	callers   []*workload.Callers
+	waiting   sync.WaitGroup
+	began     time.Time
+	control   map[string]uint64
+	processor time.Duration
+}
+
+func (r *run) say(format string, values ...any) {
+	if r.options.Progress != nil {
+		_, _ = fmt.Fprintf(r.options.Progress, format+"\n", values...)
+	}
+}
+
+// start runs a task that is waited for at the end.
+func (r *run) start(task func()) {
+	r.waiting.Add(1)
+	go func() {
+		defer r.waiting.Done()
+		task()
+	}()
+}
+
+func (r *run) prepare(ctx context.Context) error {
+	started := time.Now()
+	for {
+		if ready := r.fabric.ReadyCount(); ready == len(r.daemons) {
+			break
+		}
+		if time.Since(started) > formationTimeout {
+			return eris.Errorf("only %d of %d daemons are ready after %s", r.fabric.ReadyCount(), len(r.daemons), formationTimeout)
+		}
+		select {
+		case <-time.After(sampleInterval / 5):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	r.say("%d daemons formed one group in %.1f s", len(r.daemons), time.Since(started).Seconds())
+	declared := time.Now()
+	if err := r.declare(); err != nil {
+		return err
+	}
+	r.say("%d targets declared in %.1f s", len(r.runningTargets()), time.Since(declared).Seconds())
+	return nil
+}
+
+func (r *run) play(ctx context.Context) error {
+	playing, cancel := context.WithTimeout(ctx, r.scenario.Duration)
+	defer cancel()
+	r.began = time.Now()
+	r.control = r.controlBytes()
+	r.processor = processorTime()
+	for index := range r.scenario.Services {
+		service := &r.scenario.Services[index]
+		callers := workload.NewCallers(workload.CallerConfig{
+			Service: service.Name, Address: r.serviceAddress(index),
+			OncePerSecond: service.OncePerSecond, Feeds: service.Feeds, UploadsPerSecond: service.UploadsPerSecond,
+			UploadBytes: service.UploadBytes, AnswerBytes: service.AnswerBytes,
+			Deadline: service.Deadline, FeedStall: service.FeedStall,
+			History: r.history, Record: func(class workload.Class, took time.Duration) {
+				r.collector.Latency(service.Name, string(class), took)
+			},
+		}, r.scenario.Seed+uint64(index))
+		r.callers = append(r.callers, callers)
+		callers.Run(playing, r.start)
+	}
+	r.start(func() { r.sample(playing) })
+	err := r.playFaults(playing)
+	<-playing.Done()
+	r.waiting.Wait()
+	return err
+}
+
+func (r *run) playFaults(ctx context.Context) error {
+	faults := slices.Clone(r.scenario.Faults)
+	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
+	for index := range faults {
+		select {
+		case <-time.After(time.Until(r.began.Add(faults[index].At))):
+		case <-ctx.Done():
+			return nil
+		}
+		r.say("%6.1fs fault %s", time.Since(r.began).Seconds(), faults[index])
+		if err := r.do(ctx, &faults[index], r.start); err != nil {
+			return eris.Wrapf(err, "fault %s", faults[index])
+		}
+	}
+	return nil
+}
+
+// sample looks at the targets' loads now and then.
+func (r *run) sample(ctx context.Context) {
+	ticker := time.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	lastProgress := time.Now()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		at := time.Since(r.began)
+		loads := map[string][]report.TargetLoad{}
+		for _, target := range r.runningTargets() {
+			connections, busy := target.Load()
+			loads[target.Service()] = append(loads[target.Service()], report.TargetLoad{
+				Target: target.FullName(), Connections: connections, Busy: busy, Accepted: target.Accepted(),
+			})
+		}
+		for service, targets := range loads {
+			r.collector.Load(at, service, targets)
+		}
+		if time.Since(lastProgress) >= progressInterval {
+			lastProgress = time.Now()
+			r.sayProgress(at)
+		}
+	}
+}
+
+func (r *run) sayProgress(at time.Duration) {
+	answered, refused, unknown, feeds := uint64(0), uint64(0), uint64(0), int64(0)
+	for _, callers := range r.callers {
+		answered += callers.Answered.Load()
+		refused += callers.Refused.Load()
+		unknown += callers.Unknown.Load()
+		feeds += callers.OpenFeed.Load()
+	}
+	r.say("%6.1fs answered %d, not run %d, unknown %d, feeds open %d, daemons ready %d",
+		at.Seconds(), answered, refused, unknown, feeds, r.fabric.ReadyCount())
+}
+
+func (r *run) controlBytes() map[string]uint64 {
+	sent := map[string]uint64{}
+	for _, slot := range r.liveDaemons() {
+		sent[slot.name] = slot.node.Stats().ControlBytes
+	}
+	return sent
+}
+
+// processorTime is what this whole process has used.
+func processorTime() time.Duration {
+	var usage unix.Rusage
+	if unix.Getrusage(unix.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func (r *run) finish(ctx context.Context) (*report.Report, error) {
+	select {
+	case <-time.After(settle):
+	case <-ctx.Done():
+	}
+	span := time.Since(r.began)
+	for _, slot := range r.liveDaemons() {
+		stats := slot.node.Stats()
+		before, sameDaemon := r.control[slot.name]
+		if sameDaemon && stats.ControlBytes >= before {
+			r.collector.ControlRate(float64(stats.ControlBytes-before) / span.Seconds())
+		}
+		r.collector.Daemon(slot.name, stats.Actions, stats.Drops)
+	}
+	r.history.Add(history.Event{Kind: history.RunEnded})
+	events := r.history.Events()
+	if r.options.HistoryPath != "" {
+		if err := history.Save(r.options.HistoryPath, events); err != nil {
+			return nil, err
+		}
+	}
+	dials, failed := uint64(0), uint64(0)
+	for _, callers := range r.callers {
+		dials += callers.Dials.Load()
+		failed += callers.Failed.Load()
+	}
+	return r.collector.Finish(report.Totals{
+		Span: span, Processor: processorTime() - r.processor, Dials: dials, FailedDials: failed,
+	}, events), nil
+}
--- /dev/null
+++ b/internal/lab/workload/caller.go
@@ -0,0 +1,253 @@
+package workload
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/quic-go/quic-go"
+
+	"github.com/passtray/passtray/internal/lab/history"
+)
+
+// CallerConfig makes the callers of one service.
+type CallerConfig struct {
+	Service string
+	Address netip.AddrPort
+	// OncePerSecond are requests that may not be repeated; Feeds are long-lived
+	// feeds; UploadsPerSecond are bodies that must arrive.
+	OncePerSecond    float64
+	Feeds            int
+	UploadsPerSecond float64
+	UploadBytes      int
+	AnswerBytes      int
+	// Deadline is how long a caller waits for one attempt.
+	Deadline time.Duration
+	// FeedStall is the longest silence of a feed that does not count as a break.
+	FeedStall time.Duration
+	History   *history.Log
+	Record    func(class Class, took time.Duration)
+}
+
+// Class groups requests whose latency is reported together.
+type Class string
+
+// The classes.
+const (
+	ClassOnce      Class = "once"
+	ClassUpload    Class = "upload"
+	ClassHandshake Class = "handshake"
+)
+
+// Callers is a running load.
+type Callers struct {
+	config CallerConfig
+	random *rand.Rand
+	number atomic.Uint64
+	// Dials, Failed and Answered count attempts.
+	Dials    atomic.Uint64
+	Failed   atomic.Uint64
+	Answered atomic.Uint64
+	Refused  atomic.Uint64
+	Unknown  atomic.Uint64
+	OpenFeed atomic.Int64
+}
+
+const (
+	maximumAttempts = 8
+	retryPause      = 300 * time.Millisecond
+	keepAlive       = 5 * time.Second
+	feedSpread      = 2 * time.Second
+)
+
+// NewCallers makes the callers; seed fixes their rhythm.
+func NewCallers(config CallerConfig, seed uint64) *Callers {
+	return &Callers{config: config, random: rand.New(rand.NewPCG(seed, 1))}
+}
+
+// Run calls until the context ends, then lets requests under way finish.
+func (c *Callers) Run(ctx context.Context, start func(func())) {
+	for number := range c.config.Feeds {
+		wait := time.Duration(c.random.Int64N(int64(feedSpread)))
+		start(func() { c.runFeed(ctx, number, wait) })
+	}
+	c.arrivals(ctx, c.config.OncePerSecond, start, func() { c.request(kindOnce, ClassOnce) })
+	c.arrivals(ctx, c.config.UploadsPerSecond, start, func() { c.request(kindUpload, ClassUpload) })
+}
+
+// arrivals starts call at exponentially distributed intervals (an open loop:
+// slow answers do not slow the arrivals).
+func (c *Callers) arrivals(ctx context.Context, perSecond float64, start func(func()), call func()) {
+	if perSecond <= 0 {
+		return
+	}
+	random := rand.New(rand.NewPCG(c.random.Uint64(), 2))
+	start(func() {
+		next := time.Now()
+		for {
+			next = next.Add(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+			select {
+			case <-time.After(time.Until(next)):
+				start(call)
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+}
+
+func (c *Callers) dial(ctx context.Context) (*quic.Conn, error) {
+	c.Dials.Add(1)
+	started := time.Now()
+	connection, err := quic.DialAddr(ctx, c.config.Address.String(), &tls.Config{
+		InsecureSkipVerify: true, ServerName: serverName, MinVersion: tls.VersionTLS13,
+		NextProtos: []string{applicationProtocol(c.config.Service)},
+	}, &quic.Config{KeepAlivePeriod: keepAlive, MaxIdleTimeout: targetIdle, HandshakeIdleTimeout: handshakeTimeout})
+	if err != nil {
+		c.Failed.Add(1)
+		return nil, err
+	}
+	c.config.Record(ClassHandshake, time.Since(started))
+	return connection, nil
+}
+
+// request makes one request. Only "not run" lets it try again.
+func (c *Callers) request(what kind, class Class) {
+	id := fmt.Sprintf("%s-%s-%d", c.config.Service, class, c.number.Add(1))
+	started := time.Now()
+	for attempt := range maximumAttempts {
+		outcome, pause := c.attempt(what, id, fmt.Sprint(attempt))
+		switch outcome {
+		case history.OutcomeAnswered:
+			c.Answered.Add(1)
+			c.config.Record(class, time.Since(started))
+			return
+		case history.OutcomeNotRun:
+			c.Refused.Add(1)
+			time.Sleep(pause + time.Duration(rand.Int64N(int64(retryPause))))
+		default:
+			c.Unknown.Add(1)
+			return
+		}
+	}
+}
+
+func (c *Callers) attempt(what kind, id, attempt string) (history.Outcome, time.Duration) {
+	c.config.History.Add(history.Event{Kind: history.CallInvoked, Request: id, Detail: attempt, Service: c.config.Service})
+	outcome, pause, detail := c.exchange(what, id, attempt)
+	event := history.Event{Kind: history.CallReturned, Request: id, Detail: attempt, Service: c.config.Service, Outcome: outcome}
+	if outcome == history.OutcomeWrong {
+		event.Detail = detail
+	}
+	c.config.History.Add(event)
+	return outcome, pause
+}
+
+// exchange dials, asks and reads the answer. A dial that fails sent no request,
+// so nothing ran.
+func (c *Callers) exchange(what kind, id, attempt string) (history.Outcome, time.Duration, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.config.Deadline)
+	defer cancel()
+	connection, err := c.dial(ctx)
+	if err != nil {
+		return history.OutcomeNotRun, 0, ""
+	}
+	defer func() { _ = connection.CloseWithError(0, "") }()
+	stream, err := connection.OpenStreamSync(ctx)
+	if err != nil {
+		return history.OutcomeNotRun, 0, ""
+	}
+	asked := request{
+		Kind: what, ID: id, Attempt: attempt, AnswerSize: uint32(c.config.AnswerBytes),
+		DeadlineMilliseconds: uint32(c.config.Deadline.Milliseconds() / 2),
+	}
+	if what == kindUpload {
+		asked.Body = make([]byte, c.config.UploadBytes)
+	}
+	deadline, _ := ctx.Deadline()
+	_ = stream.SetDeadline(deadline)
+	if err := cbor.NewEncoder(stream).Encode(asked); err != nil {
+		return history.OutcomeUnknown, 0, ""
+	}
+	_ = stream.Close()
+	var answer response
+	if err := cbor.NewDecoder(stream).Decode(&answer); err != nil {
+		return history.OutcomeUnknown, 0, ""
+	}
+	if answer.ID != id {
+		return history.OutcomeWrong, 0, "answer is for " + answer.ID
+	}
+	if answer.NotRun {
+		return history.OutcomeNotRun, time.Duration(answer.RetryAfterMilliseconds) * time.Millisecond, ""
+	}
+	if len(answer.Payload) != c.config.AnswerBytes || answer.Checksum != checksumOf(id, answer.Payload) {
+		return history.OutcomeWrong, 0, "answer is not whole"
+	}
+	return history.OutcomeAnswered, 0, ""
+}
+
+// runFeed holds one feed open until the context ends, and opens it again when
+// it breaks.
+func (c *Callers) runFeed(ctx context.Context, number int, wait time.Duration) {
+	time.Sleep(wait)
+	for generation := 0; ctx.Err() == nil; generation++ {
+		id := fmt.Sprintf("%s-feed-%d.%d", c.config.Service, number, generation)
+		if !c.holdFeed(ctx, id) {
+			time.Sleep(retryPause)
+		}
+	}
+}
+
+func (c *Callers) holdFeed(ctx context.Context, id string) bool {
+	dialing, cancel := context.WithTimeout(ctx, c.config.Deadline)
+	defer cancel()
+	connection, err := c.dial(dialing)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = connection.CloseWithError(0, "") }()
+	stream, err := connection.OpenStreamSync(dialing)
+	if err != nil {
+		return false
+	}
+	if err := cbor.NewEncoder(stream).Encode(request{Kind: kindFeed, ID: id}); err != nil {
+		return false
+	}
+	stop := context.AfterFunc(ctx, func() { stream.CancelRead(0) })
+	defer stop()
+	c.OpenFeed.Add(1)
+	defer c.OpenFeed.Add(-1)
+	target, err := c.readFeed(stream, id)
+	kind := history.FeedClosed
+	detail := ""
+	if ctx.Err() == nil {
+		kind, detail = history.FeedBroken, err.Error()
+	}
+	c.config.History.Add(history.Event{Kind: kind, Request: id, Service: c.config.Service, Target: target, Detail: detail})
+	return true
+}
+
+func (c *Callers) readFeed(stream *quic.Stream, id string) (string, error) {
+	decoder := cbor.NewDecoder(stream)
+	target := ""
+	for expected := uint64(1); ; expected++ {
+		_ = stream.SetReadDeadline(time.Now().Add(c.config.FeedStall))
+		var event feedEvent
+		if err := decoder.Decode(&event); err != nil {
+			return target, err
+		}
+		if expected == 1 {
+			target = event.Target
+			c.config.History.Add(history.Event{Kind: history.FeedOpened, Request: id, Service: c.config.Service, Target: target})
+		}
+		if event.Sequence != expected {
+			return target, errors.New("an event is missing")
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/workload/target.go
@@ -0,0 +1,224 @@
+package workload
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+
+	"github.com/passtray/passtray/backend"
+	"github.com/passtray/passtray/internal/lab/history"
+)
+
+// TargetConfig makes a target stand-in.
+type TargetConfig struct {
+	Service     string
+	Name        string
+	Address     netip.AddrPort
+	ServiceAddr netip.AddrPort
+	KeyringPath string
+	Certificate tls.Certificate
+	// Slots is how many requests run at once; more wait up to their deadline.
+	Slots              uint16
+	MaximumConnections uint32
+	// Work is the mean time a request takes; while cold, ColdFactor times that.
+	Work       time.Duration
+	ColdFactor float64
+	ColdFor    time.Duration
+	// ShedAbove is how many requests may wait before more are turned away.
+	ShedAbove int32
+	History   *history.Log
+}
+
+// Target is a running target stand-in.
+type Target struct {
+	config   TargetConfig
+	listener *backend.Listener
+	started  time.Time
+	waiting  atomic.Int32
+	accepted atomic.Uint64
+	ctx      context.Context
+	cancel   context.CancelFunc
+	crashed  atomic.Bool
+}
+
+const (
+	feedInterval     = 200 * time.Millisecond
+	targetIdle       = 30 * time.Second
+	shedRetryAfter   = 500 * time.Millisecond
+	maximumStreams   = 1000
+	handshakeTimeout = 5 * time.Second
+)
+
+// StartTarget brings a target up.
+func StartTarget(config TargetConfig) (*Target, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	target := &Target{config: config, started: time.Now(), ctx: ctx, cancel: cancel}
+	var err error
+	target.listener, err = backend.Listen(config.Address, backend.Config{
+		Service: config.Service, Target: config.Name, KeyringPath: config.KeyringPath,
+		Slots: config.Slots, MaximumConnections: config.MaximumConnections,
+		Trace: target.trace,
+	}, &tls.Config{
+		Certificates: []tls.Certificate{config.Certificate},
+		NextProtos:   []string{applicationProtocol(config.Service)},
+		MinVersion:   tls.VersionTLS13,
+	}, &quic.Config{
+		MaxIdleTimeout: targetIdle, HandshakeIdleTimeout: handshakeTimeout, MaxIncomingStreams: maximumStreams,
+	})
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	go target.accept()
+	return target, nil
+}
+
+// FullName is "service/target".
+func (t *Target) FullName() string { return t.config.Service + "/" + t.config.Name }
+
+// Service returns the service the target stands behind.
+func (t *Target) Service() string { return t.config.Service }
+
+// Load returns open connections and busy slots.
+func (t *Target) Load() (connections, busy int) {
+	return int(t.listener.Connections()), int(t.listener.BusySlots())
+}
+
+// Accepted returns how many connections were accepted so far.
+func (t *Target) Accepted() uint64 { return t.accepted.Load() }
+
+func (t *Target) trace(service netip.AddrPort, _ bool) {
+	if service != t.config.ServiceAddr {
+		t.config.History.Add(history.Event{Kind: history.PacketForeign, Service: service.String(), Target: t.FullName()})
+	}
+}
+
+func (t *Target) accept() {
+	for {
+		connection, err := t.listener.Accept(t.ctx)
+		if err != nil {
+			return
+		}
+		t.accepted.Add(1)
+		t.config.History.Add(history.Event{Kind: history.ConnectionOpened, Service: t.config.Service, Target: t.FullName()})
+		go t.serve(connection)
+	}
+}
+
+func (t *Target) serve(connection *quic.Conn) {
+	for {
+		stream, err := connection.AcceptStream(t.ctx)
+		if err != nil {
+			return
+		}
+		go t.handle(stream)
+	}
+}
+
+func (t *Target) handle(stream *quic.Stream) {
+	defer func() { _ = stream.Close() }()
+	var asked request
+	if err := cbor.NewDecoder(stream).Decode(&asked); err != nil {
+		return
+	}
+	switch asked.Kind {
+	case kindFeed:
+		t.feed(stream)
+	case kindOnce, kindUpload:
+		t.run(stream, &asked)
+	}
+}
+
+// run takes a slot and does a request's work, or says that it did not.
+func (t *Target) run(stream *quic.Stream, asked *request) {
+	waiting := t.waiting.Add(1)
+	release, err := t.acquire(stream, asked, waiting)
+	t.waiting.Add(-1)
+	if err != nil {
+		t.reply(stream, asked, &response{ID: asked.ID, NotRun: true, Target: t.FullName(), RetryAfterMilliseconds: uint32(shedRetryAfter.Milliseconds())})
+		return
+	}
+	defer release()
+	t.config.History.Add(history.Event{
+		Kind: history.RequestRun, Request: asked.ID, Detail: asked.Attempt, Service: t.config.Service, Target: t.FullName(),
+	})
+	time.Sleep(t.workTime())
+	payload := make([]byte, asked.AnswerSize)
+	for index := range payload {
+		payload[index] = byte(rand.Uint32())
+	}
+	t.reply(stream, asked, &response{ID: asked.ID, Target: t.FullName(), Payload: payload, Checksum: checksumOf(asked.ID, payload)})
+}
+
+func (t *Target) acquire(stream *quic.Stream, asked *request, waiting int32) (func(), error) {
+	if t.config.ShedAbove > 0 && waiting > t.config.ShedAbove {
+		return nil, eris.New("too many requests wait")
+	}
+	// A cancelled stream ends its context, and so the wait.
+	ctx, cancel := context.WithTimeout(stream.Context(), time.Duration(asked.DeadlineMilliseconds)*time.Millisecond)
+	defer cancel()
+	return t.listener.AcquireSlot(ctx)
+}
+
+func (t *Target) workTime() time.Duration {
+	work := float64(t.config.Work) * (0.5 + rand.Float64())
+	if time.Since(t.started) < t.config.ColdFor {
+		work *= t.config.ColdFactor
+	}
+	return time.Duration(work)
+}
+
+func (t *Target) reply(stream *quic.Stream, asked *request, answer *response) {
+	if err := cbor.NewEncoder(stream).Encode(answer); err != nil && !t.crashed.Load() {
+		t.config.History.Add(history.Event{
+			Kind: history.RequestCut, Request: asked.ID, Detail: err.Error(), Target: t.FullName(),
+		})
+	}
+}
+
+func (t *Target) feed(stream *quic.Stream) {
+	encoder := cbor.NewEncoder(stream)
+	ticker := time.NewTicker(feedInterval)
+	defer ticker.Stop()
+	for sequence := uint64(1); ; sequence++ {
+		if err := encoder.Encode(feedEvent{Sequence: sequence, Target: t.FullName()}); err != nil {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-stream.Context().Done():
+			return
+		}
+	}
+}
+
+// Drain makes the target leave in order: it refuses new connections and ends
+// when the open ones have.
+func (t *Target) Drain() { t.listener.Drain() }
+
+// WaitIdle waits until no connection is open.
+func (t *Target) WaitIdle(ctx context.Context) error { return t.listener.WaitIdle(ctx) }
+
+// Crash ends the target without notice.
+func (t *Target) Crash() {
+	t.crashed.Store(true)
+	t.config.History.Add(history.Event{Kind: history.TargetCrashed, Target: t.FullName()})
+	t.Close()
+}
+
+// Close ends the target.
+func (t *Target) Close() {
+	t.cancel()
+	_ = t.listener.Close()
+}
+
+// String names the target.
+func (t *Target) String() string { return fmt.Sprintf("%s at %s", t.FullName(), t.config.Address) }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -48,7 +48,9 @@
 }
 
 // Describe serves the registry.
-func (c *collector) Describe(channel chan<- *prometheus.Desc) { prometheus.DescribeByCollect(c, channel) }
+func (c *collector) Describe(channel chan<- *prometheus.Desc) {
+	prometheus.DescribeByCollect(c, channel)
+}
 
 // Collect serves the registry.
 func (c *collector) Collect(channel chan<- prometheus.Metric) {
@@ -103,3 +105,31 @@
 	}
 	return 0
 }
+
+// Stats is a reading of the counters for a lab.
+type Stats struct {
+	// ControlBytes is control traffic sent, streams and datagrams.
+	ControlBytes uint64
+	Actions      map[string]uint64
+	Drops        map[string]uint64
+}
+
+// Stats reads the counters.
+func (n *Node) Stats() Stats {
+	counters := n.plane.counters
+	traffic := n.transport.Traffic()
+	stats := Stats{
+		ControlBytes: traffic.DatagramBytesSent.Load() + traffic.StreamBytesSent.Load(),
+		Actions: map[string]uint64{
+			"routed": counters.routed.Load(), "handed_over": counters.handedOver.Load(), "picked": counters.picked.Load(),
+			"steered_again": counters.steered.Load(), "refused": counters.refused.Load(),
+		},
+		Drops: map[string]uint64{},
+	}
+	for reason := steering.ReasonNone + 1; reason < steering.ReasonCount; reason++ {
+		if count := counters.dropped[reason].Load(); count > 0 {
+			stats.Drops[reason.String()] = count
+		}
+	}
+	return stats
+}
