Owners acknowledge handovers; a daemon owns flows only when caught up

Cause: a first flight handed to a dead owner was lost with every retransmission until membership noticed (seconds); a joined daemon owned flows before it had a configuration, or while it had a voter's first, empty one. Ruled out: the fabric's lag (it loses single packets, which retransmission covers within 0.3 s).

Change: an owner acknowledges each handover in the data path; after 100 ms without, its handovers go to the next owner and it is avoided for 2 s. A daemon takes ownership, and is ready, only after it has held a lease once. The lab waits until its declaration is in force before callers start.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -88,6 +88,7 @@
 	proposals proposals
 	statuses  map[uint64]*pendingStatus
 	nextSync  time.Time
+	formedAt  time.Time
 	wasLeader bool
 
 	output Output
@@ -119,6 +120,20 @@
 // Version returns how far the configuration in force has come.
 func (c *Core) Version() dissemination.Version { return c.store.Version() }
 
+// IsCaughtUp reports whether this daemon has held a lease since its start, and so
+// all that was committed then, or has a configuration for so long without one
+// that the fleet must be without a leader. Until then its configuration may be
+// any old one, a voter's even the first.
+func (c *Core) IsCaughtUp(now time.Time) bool {
+	if !c.isFormed() {
+		return false
+	}
+	if !c.lease.renewed.IsZero() {
+		return true
+	}
+	return !c.formedAt.IsZero() && now.Sub(c.formedAt) > c.config.LeaseDuration
+}
+
 // Live returns the daemons present, ordered by identity.
 func (c *Core) Live() []membership.Member { return c.group.Live() }
 
@@ -163,6 +178,9 @@
 
 // Tick lets time pass. It is to be called about every 50 ms.
 func (c *Core) Tick(now time.Time) Output {
+	if c.formedAt.IsZero() && c.isFormed() {
+		c.formedAt = now
+	}
 	c.tickLease(now)
 	c.takeMembership(now, c.group.Tick(now))
 	c.takeConsensus(now, c.replica.Tick(now))
--- a/internal/encapsulation/header.go
+++ b/internal/encapsulation/header.go
@@ -33,6 +33,9 @@
 	// KindToIngress goes from an owner to the daemon whose own address the
 	// caller used, with a reply for the caller.
 	KindToIngress
+	// KindOwnerAcknowledgement tells the sender of a KindToOwner datagram that
+	// it came; it has no payload.
+	KindOwnerAcknowledgement
 )
 
 // TargetState is what a target says of itself in a report.
@@ -233,7 +236,7 @@
 func parseValue(valueType byte, value []byte, header *Header) error {
 	switch valueType {
 	case typeRoute:
-		if len(value) != routeSize || value[0] < byte(KindToTarget) || value[0] > byte(KindToIngress) {
+		if len(value) != routeSize || value[0] < byte(KindToTarget) || value[0] > byte(KindOwnerAcknowledgement) {
 			return ErrValue
 		}
 		header.Kind = Kind(value[0])
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -331,7 +331,22 @@
 			}
 		}
 	}
-	return nil
+	return c.waitInForce()
+}
+
+// waitInForce waits until every live daemon has what was declared.
+func (c *cluster) waitInForce() error {
+	address, found := c.operatorAddress(0)
+	if !found {
+		return eris.New("no daemon runs")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	_, err := c.callOne(ctx, address, nil, func(ctx context.Context, client passtrayv1.OperatorClient, _ *passtrayv1.ChangeOptions) (*passtrayv1.ChangeResponse, error) {
+		_, err := client.WaitInForce(ctx, &passtrayv1.WaitInForceRequest{})
+		return nil, err
+	})
+	return eris.Wrap(err, "wait until in force")
 }
 
 // addTarget starts a target and tells the operators' interface of it.
--- a/internal/node/data.go
+++ b/internal/node/data.go
@@ -9,6 +9,7 @@
 
 	"github.com/passtray/passtray/internal/admission"
 	"github.com/passtray/passtray/internal/catalog"
+	"github.com/passtray/passtray/internal/encapsulation"
 	"github.com/passtray/passtray/internal/forwarding"
 	"github.com/passtray/passtray/internal/membership"
 	"github.com/passtray/passtray/internal/ownership"
@@ -20,6 +21,8 @@
 	// that watch it, and watchersPerTarget how many those are.
 	probeInterval     = 3 * time.Second
 	watchersPerTarget = 3
+	// resendInterval is how often unacknowledged handovers are looked at.
+	resendInterval = 25 * time.Millisecond
 )
 
 // openData opens the data sockets and starts their workers.
@@ -28,12 +31,14 @@
 	n.plane = &dataPlane{
 		self: data.Backend, fabricEgress: data.FabricEgress, fabricSources: n.fabricSources(),
 		mode: n.options.Mode, limiter: admission.NewLimiter(), counters: &dataCounters{},
+		peers:    n.peers,
+		caughtUp: &n.caughtUp,
 		pins:     ownership.NewTable(data.Pins, pinLifetime),
 		udpFlows: ownership.NewTable(data.UDPFlows, data.UDPIdle),
 		direct:   map[netip.AddrPort]forwarding.Socket{},
 	}
 	self := membership.Member{Identity: n.core.Self(), DataAddress: data.Backend, Zone: n.settings.Zone}
-	n.plane.snapshot.Store(steering.Build(time.Now(), &catalog.State{}, n.core.Live(), self, n.keyring.Load(), &n.leaseEnds, n.signals))
+	n.plane.snapshot.Store(steering.Build(time.Now(), &catalog.State{}, n.core.Live(), self, n.keyring.Load(), &n.leaseEnds, n.signals, n.peers))
 	var err error
 	if n.plane.refuser, err = admission.NewRefuser(n.plane.sendRefusal); err != nil {
 		return err
@@ -57,6 +62,8 @@
 		}
 		n.plane.direct[entry.Service] = direct[index][0]
 	}
+	n.waiting.Add(1)
+	go n.resendHandovers(backend[0])
 	n.startWorkers(backend, backendHandler{n.plane})
 	n.startWorkers(fabric, fabricHandler{n.plane})
 	for index, entry := range n.settings.Direct {
@@ -134,6 +141,30 @@
 	}
 }
 
+// resendHandovers sends what silent owners did not acknowledge to the next one.
+func (n *Node) resendHandovers(backend forwarding.Socket) {
+	defer n.waiting.Done()
+	worker := forwarding.NewWorker(backend, backendHandler{n.plane}, &n.plane.counters.Counters)
+	memory := newWorkerContext()
+	worker.Context = memory
+	ticker := time.NewTicker(resendInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, handover := range n.peers.TakeSilent(now) {
+				n.plane.counters.resent.Add(1)
+				inbound := &forwarding.Inbound{Buffer: append(make([]byte, forwarding.Headroom), handover.Payload...)}
+				memory.header = encapsulation.Header{Caller: handover.Caller, Service: handover.Service, Ingress: handover.Ingress}
+				n.plane.steer(worker, inbound, forwarding.Headroom, false)
+				worker.Flush()
+			}
+		}
+	}
+}
+
 // writeOne sends a single datagram outside the workers.
 func writeOne(socket forwarding.Socket, to netip.AddrPort, datagram []byte) {
 	message := ipv4.Message{Buffers: [][]byte{datagram}, Addr: net.UDPAddrFromAddrPort(to)}
--- a/internal/node/dataplane.go
+++ b/internal/node/dataplane.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
@@ -52,6 +53,7 @@
 	handedOver atomic.Uint64
 	picked     atomic.Uint64
 	steered    atomic.Uint64
+	resent     atomic.Uint64
 	refused    atomic.Uint64
 	returned   atomic.Uint64
 	relayed    atomic.Uint64
@@ -68,6 +70,9 @@
 
 	snapshot atomic.Pointer[steering.Snapshot]
 	limiter  *admission.Limiter
+	peers    *ownership.Peers
+	// caughtUp says whether this daemon may own flows.
+	caughtUp *atomic.Bool
 	pins     *ownership.Table
 	udpFlows *ownership.Table
 	refuser  *admission.Refuser
@@ -172,6 +177,10 @@
 
 func (d *dataPlane) handOver(worker *forwarding.Worker, inbound *forwarding.Inbound, offset int, owner *steering.Daemon) {
 	memory := worker.Context.(*workerContext)
+	owner.Peer.NoteSent(time.Now(), ownership.Handover{
+		Caller: memory.header.Caller, Service: memory.header.Service, Ingress: memory.header.Ingress,
+		Payload: bytes.Clone(inbound.Buffer[offset:]),
+	})
 	memory.header.Kind = encapsulation.KindToOwner
 	memory.header.Names = nil
 	d.send(worker, inbound, offset, &memory.header, owner.Address)
--- a/internal/node/dataplane_backend.go
+++ b/internal/node/dataplane_backend.go
@@ -29,7 +29,17 @@
 			h.drop(steering.ReasonForeignSource)
 			return
 		}
+		if !h.caughtUp.Load() {
+			// Without an acknowledgement the flow finds another owner.
+			h.drop(steering.ReasonNotCaughtUp)
+			return
+		}
+		h.acknowledge(worker, inbound.Source)
 		h.steer(worker, inbound, offset, true)
+	case encapsulation.KindOwnerAcknowledgement:
+		if peer := h.peers.Find(inbound.Source); peer != nil {
+			peer.NoteAcknowledged()
+		}
 	case encapsulation.KindToIngress:
 		if !h.snapshot.Load().IsPeer(inbound.Source) {
 			h.drop(steering.ReasonForeignSource)
@@ -41,6 +51,15 @@
 	}
 }
 
+// acknowledge tells another daemon that its handover came.
+func (h backendHandler) acknowledge(worker *forwarding.Worker, peer netip.AddrPort) {
+	memory := worker.Context.(*workerContext)
+	memory.reply = encapsulation.Header{
+		Kind: encapsulation.KindOwnerAcknowledgement, Caller: memory.header.Caller, Service: memory.header.Service,
+	}
+	worker.Send(h.backend, peer, encapsulation.Append(nil, &memory.reply))
+}
+
 // fromTarget takes in the target's report and passes the payload on. The
 // sender must be the target it says it is.
 func (h backendHandler) fromTarget(worker *forwarding.Worker, inbound *forwarding.Inbound, offset int) {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -69,6 +69,7 @@
 	counter(c.packets, counters.handedOver.Load(), "handed_over")
 	counter(c.packets, counters.picked.Load(), "picked")
 	counter(c.packets, counters.steered.Load(), "steered_again")
+	counter(c.packets, counters.resent.Load(), "resent_handover")
 	counter(c.packets, counters.refused.Load(), "refused")
 	counter(c.packets, counters.returned.Load(), "returned")
 	counter(c.packets, counters.relayed.Load(), "relayed")
@@ -123,6 +124,7 @@
 		Actions: map[string]uint64{
 			"routed": counters.routed.Load(), "handed_over": counters.handedOver.Load(), "picked": counters.picked.Load(),
 			"steered_again": counters.steered.Load(), "refused": counters.refused.Load(),
+			"resent_handover": counters.resent.Load(),
 		},
 		Drops: map[string]uint64{},
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/passtray/passtray/internal/identity"
 	"github.com/passtray/passtray/internal/membership"
 	"github.com/passtray/passtray/internal/operator"
+	"github.com/passtray/passtray/internal/ownership"
 	"github.com/passtray/passtray/internal/peering"
 	"github.com/passtray/passtray/internal/pki"
 	"github.com/passtray/passtray/internal/platform"
@@ -67,6 +68,7 @@
 	operator  *operator.Server
 	telemetry *telemetry.Server
 	signals   *steering.Signals
+	peers     *ownership.Peers
 
 	token    uint64
 	results  map[uint64]chan control.ProposalResult
@@ -75,6 +77,7 @@
 	view      atomic.Pointer[view]
 	watchers  watchers
 	draining  atomic.Bool
+	caughtUp  atomic.Bool
 	lastTick  atomic.Int64
 	nextProbe time.Time
 
@@ -102,6 +105,7 @@
 		settings: given, options: options, log: log,
 		inbox:    make(chan func(time.Time), inboxLength),
 		signals:  steering.NewSignals(),
+		peers:    ownership.NewPeers(),
 		results:  map[uint64]chan control.ProposalResult{},
 		statuses: map[uint64]chan control.FleetStatus{},
 		ctx:      ctx, cancel: cancel,
@@ -222,6 +226,7 @@
 	for _, event := range output.Events {
 		n.log.Info(string(event.Kind), telemetry.FieldDetail, event.Detail)
 	}
+	n.caughtUp.Store(n.core.IsCaughtUp(time.Now()))
 	if ends := n.core.LeaseEnds(); !ends.IsZero() {
 		n.leaseEnds.Store(ends.UnixNano())
 	}
@@ -247,7 +252,7 @@
 	live := n.core.Live()
 	self := membership.Member{Identity: n.core.Self(), DataAddress: n.settings.Data.Backend, Zone: n.settings.Zone}
 	state := n.core.State()
-	n.plane.snapshot.Store(steering.Build(time.Now(), state, live, self, n.keyring.Load(), &n.leaseEnds, n.signals))
+	n.plane.snapshot.Store(steering.Build(time.Now(), state, live, self, n.keyring.Load(), &n.leaseEnds, n.signals, n.peers))
 	n.view.Store(&view{
 		state: state, version: n.core.Version(), live: live,
 		voter: n.core.IsVoter(), leader: n.core.IsLeader(),
@@ -335,9 +340,8 @@
 	if n.draining.Load() {
 		return "draining"
 	}
-	held := n.view.Load()
-	if held == nil || held.version.Epoch.IsZero() {
-		return "no configuration yet"
+	if !n.caughtUp.Load() {
+		return "the configuration is not caught up yet"
 	}
 	return n.Alive()
 }
--- a/internal/ownership/owner.go
+++ b/internal/ownership/owner.go
@@ -87,6 +87,24 @@
 	return -node.Weight / math.Log(uniform)
 }
 
+// RendezvousPassing is Rendezvous over the nodes that pass does not pass over,
+// or over all if it passes over every one.
+func RendezvousPassing(hash uint64, nodes []Node, pass func(index int) bool) int {
+	best, bestScore := -1, math.Inf(-1)
+	for index := range nodes {
+		if pass(index) {
+			continue
+		}
+		if score := rendezvousScore(hash, &nodes[index]); score > bestScore {
+			best, bestScore = index, score
+		}
+	}
+	if best < 0 {
+		return Rendezvous(hash, nodes)
+	}
+	return best
+}
+
 // Rank returns how many nodes score higher for the hash than the one at index.
 func Rank(hash uint64, nodes []Node, index int) int {
 	own := rendezvousScore(hash, &nodes[index])
--- /dev/null
+++ b/internal/ownership/ownership_test.go
@@ -0,0 +1,114 @@
+package ownership
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func nodesOf(count int) []Node {
+	var nodes []Node
+	for index := range count {
+		nodes = append(nodes, Node{Seed: SeedOf([]byte(fmt.Sprint("node-", index))), Weight: 1})
+	}
+	return nodes
+}
+
+func TestOnlyTheFlowsOfALostNodeMove(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := nodesOf(rapid.IntRange(2, 30).Draw(t, "nodes"))
+		lost := rapid.IntRange(0, len(nodes)-1).Draw(t, "lost")
+		hash := rapid.Uint64().Draw(t, "hash")
+		before := Rendezvous(hash, nodes)
+		second := RendezvousSecond(hash, nodes)
+		remaining := append(append([]Node(nil), nodes[:lost]...), nodes[lost+1:]...)
+		after := remaining[Rendezvous(hash, remaining)]
+		want := nodes[before]
+		if before == lost {
+			want = nodes[second]
+		}
+		if after != want {
+			t.Fatalf("flow %x went from %d to another than %d", hash, before, second)
+		}
+	})
+}
+
+func TestRendezvousFollowsWeights(t *testing.T) {
+	nodes := nodesOf(4)
+	nodes[0].Weight = 3
+	counts := make([]int, len(nodes))
+	const flows = 60_000
+	for flow := range uint64(flows) {
+		counts[Rendezvous(mix(flow), nodes)]++
+	}
+	share := float64(counts[0]) / flows
+	assert.Assert(t, share > 0.48 && share < 0.52, "weight 3 of 6 got %.3f", share)
+}
+
+func TestPinsExpireAndStayBounded(t *testing.T) {
+	const capacity = 64 * pinShards
+	table := NewTable(capacity, 10*time.Second)
+	now := time.Unix(1000, 0)
+	store := func(flow int, at time.Time) {
+		caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(flow >> 8), byte(flow)}), uint16(flow>>16)+1)
+		table.Update(at, KeyOfCaller(1, caller), func(Pin, bool) (Pin, bool) { return Pin{Target: 7, Created: at}, true })
+	}
+	for flow := range 3 * capacity {
+		store(flow, now)
+	}
+	assert.Assert(t, table.Len() <= capacity, "%d pins of %d", table.Len(), capacity)
+	assert.Assert(t, table.Len() > capacity/2)
+	for flow := range 3 * capacity {
+		store(flow, now.Add(time.Minute))
+	}
+	caller := netip.MustParseAddrPort("10.0.0.1:1")
+	table.Update(now.Add(5*time.Minute), KeyOfCaller(1, caller), func(_ Pin, found bool) (Pin, bool) {
+		assert.Assert(t, !found, "an expired pin was found")
+		return Pin{}, false
+	})
+}
+
+func TestOnlyTheFirstAnswerOfThePinnedTargetCounts(t *testing.T) {
+	table := NewTable(1024, 10*time.Second)
+	now := time.Unix(1000, 0)
+	caller := netip.MustParseAddrPort("10.0.0.1:1")
+	key := KeyOfID(1, caller, []byte("12345678"))
+	table.Update(now, key, func(Pin, bool) (Pin, bool) { return Pin{Target: 7, Created: now}, true })
+	_, first := table.MarkAnswered(now, 1, caller, 8)
+	assert.Assert(t, !first, "another target's answer counted")
+	age, first := table.MarkAnswered(now.Add(time.Second), 1, caller, 7)
+	assert.Assert(t, first)
+	assert.Equal(t, age, time.Second)
+	_, first = table.MarkAnswered(now, 1, caller, 7)
+	assert.Assert(t, !first)
+}
+
+func TestASilentPeerIsAvoidedAndItsHandoversComeBack(t *testing.T) {
+	peers := NewPeers()
+	address := netip.MustParseAddrPort("10.0.0.9:7003")
+	now := time.Unix(1000, 0)
+	peers.Get(address).NoteSent(now, Handover{Payload: []byte("one")})
+	peers.Get(address).NoteSent(now, Handover{Payload: []byte("two")})
+	assert.Equal(t, len(peers.TakeSilent(now.Add(silentAfter/2))), 0)
+	assert.Equal(t, len(peers.TakeSilent(now.Add(silentAfter))), 2)
+	assert.Assert(t, peers.Get(address).IsAvoided())
+	assert.Equal(t, len(peers.TakeSilent(now.Add(silentAfter+avoidFor))), 0)
+	assert.Assert(t, !peers.Get(address).IsAvoided(), "it must be tried again")
+	peers.Get(address).NoteSent(now, Handover{})
+	peers.Get(address).NoteAcknowledged()
+	assert.Equal(t, len(peers.TakeSilent(now.Add(time.Hour))), 0)
+}
+
+func BenchmarkOwnerAmong1400(b *testing.B) {
+	nodes := nodesOf(1400)
+	b.ReportAllocs()
+	hash := uint64(0)
+	for b.Loop() {
+		hash++
+		Rendezvous(mix(hash), nodes)
+	}
+}
--- a/internal/steering/decide.go
+++ b/internal/steering/decide.go
@@ -41,6 +41,7 @@
 	ReasonAdmission
 	ReasonOversized
 	ReasonNotOurs
+	ReasonNotCaughtUp
 
 	// ReasonCount is the number of reasons.
 	ReasonCount
@@ -48,7 +49,7 @@
 
 var reasonNames = [ReasonCount]string{
 	"none", "malformed", "unknown_service", "unroutable", "foreign_service", "target_gone", "short_initial",
-	"no_owner", "foreign_source", "no_target", "admission", "oversized", "not_ours",
+	"no_owner", "foreign_source", "no_target", "admission", "oversized", "not_ours", "not_caught_up",
 }
 
 // String returns the reason's metric label.
--- a/internal/steering/snapshot.go
+++ b/internal/steering/snapshot.go
@@ -45,6 +45,8 @@
 type Daemon struct {
 	Address netip.AddrPort
 	IsSelf  bool
+	// Peer is how it takes handovers; nil for this daemon itself.
+	Peer *ownership.Peer
 }
 
 // Snapshot is what a daemon believes at one moment. It is immutable.
@@ -103,7 +105,7 @@
 }
 
 // Build makes a snapshot of a configuration and a member list.
-func Build(now time.Time, state *catalog.State, live []membership.Member, self membership.Member, keyring *connectionid.Keyring, leaseEnds *atomic.Int64, signals *Signals) *Snapshot {
+func Build(now time.Time, state *catalog.State, live []membership.Member, self membership.Member, keyring *connectionid.Keyring, leaseEnds *atomic.Int64, signals *Signals, peers *ownership.Peers) *Snapshot {
 	snapshot := &Snapshot{
 		Revision:  state.Revision,
 		Zone:      self.Zone,
@@ -115,7 +117,7 @@
 	}
 	byNumber := snapshot.addServices(state)
 	snapshot.addTargets(now, state, byNumber, signals)
-	snapshot.addDaemons(live, self)
+	snapshot.addDaemons(live, self, peers)
 	signals.forgetRetired(state)
 	signals.warm = signals.warm || state.Revision > 0
 	return snapshot
@@ -163,15 +165,20 @@
 	}
 }
 
-func (s *Snapshot) addDaemons(live []membership.Member, self membership.Member) {
+func (s *Snapshot) addDaemons(live []membership.Member, self membership.Member, peers *ownership.Peers) {
 	for _, member := range live {
 		isSelf := member.Identity == self.Identity
-		s.daemons = append(s.daemons, Daemon{Address: member.DataAddress, IsSelf: isSelf})
+		daemon := Daemon{Address: member.DataAddress, IsSelf: isSelf}
+		if !isSelf {
+			daemon.Peer = peers.Get(member.DataAddress)
+		}
+		s.daemons = append(s.daemons, daemon)
 		s.nodes = append(s.nodes, ownership.Node{Seed: ownership.SeedOf([]byte(member.DataAddress.String())), Weight: 1})
 		if !isSelf {
 			s.peers[member.DataAddress] = true
 		}
 	}
+	peers.Retain(s.peers)
 }
 
 // LeaseEnds returns until when the configuration is confirmed.
@@ -192,9 +199,13 @@
 // IsPeer reports whether an address is a live daemon's data address.
 func (s *Snapshot) IsPeer(address netip.AddrPort) bool { return s.peers[address] }
 
-// Owner returns the daemon that owns a flow, nil if no daemon is known.
+// Owner returns the daemon that owns a flow, nil if no daemon is known. Daemons
+// that do not acknowledge handovers are passed over.
 func (s *Snapshot) Owner(key ownership.FlowKey) *Daemon {
-	index := ownership.Rendezvous(key.Hash, s.nodes)
+	index := ownership.RendezvousPassing(key.Hash, s.nodes, func(index int) bool {
+		peer := s.daemons[index].Peer
+		return peer != nil && peer.IsAvoided()
+	})
 	if index < 0 {
 		return nil
 	}
