--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -137,6 +137,10 @@
 // Live returns the daemons present, ordered by identity.
 func (c *Core) Live() []membership.Member { return c.group.Live() }
 
+// Known returns every daemon remembered: those present, and those that left or
+// died lately.
+func (c *Core) Known() []membership.Member { return c.group.All() }
+
 // IsLeader reports whether this daemon leads the voters.
 func (c *Core) IsLeader() bool { return c.replica.Role() == consensus.Leader }
 
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -159,6 +159,9 @@
 		at := time.Since(r.began)
 		loads := map[string][]report.TargetLoad{}
 		for _, target := range r.runningTargets() {
+			if target.IsDraining() {
+				continue // What is left on it says nothing of how flows are spread.
+			}
 			connections, busy := target.Load()
 			loads[target.Service()] = append(loads[target.Service()], report.TargetLoad{
 				Target: target.FullName(), Connections: connections, Busy: busy, Accepted: target.Accepted(),
--- a/internal/lab/workload/target.go
+++ b/internal/lab/workload/target.go
@@ -92,6 +92,9 @@
 	return int(t.listener.Connections()), int(t.listener.BusySlots())
 }
 
+// IsDraining reports whether the target is leaving.
+func (t *Target) IsDraining() bool { return t.listener.IsDraining() }
+
 // Accepted returns how many connections were accepted so far.
 func (t *Target) Accepted() uint64 { return t.accepted.Load() }
 
--- a/internal/node/data.go
+++ b/internal/node/data.go
@@ -8,12 +8,9 @@
 	"golang.org/x/net/ipv4"
 
 	"github.com/passtray/passtray/internal/admission"
-	"github.com/passtray/passtray/internal/catalog"
 	"github.com/passtray/passtray/internal/encapsulation"
 	"github.com/passtray/passtray/internal/forwarding"
-	"github.com/passtray/passtray/internal/membership"
 	"github.com/passtray/passtray/internal/ownership"
-	"github.com/passtray/passtray/internal/steering"
 )
 
 const (
@@ -37,8 +34,7 @@
 		udpFlows: ownership.NewTable(data.UDPFlows, data.UDPIdle),
 		direct:   map[netip.AddrPort]forwarding.Socket{},
 	}
-	self := membership.Member{Identity: n.core.Self(), DataAddress: data.Backend, Zone: n.settings.Zone}
-	n.plane.snapshot.Store(steering.Build(time.Now(), &catalog.State{}, n.core.Live(), self, n.keyring.Load(), &n.leaseEnds, n.signals, n.peers))
+	n.plane.snapshot.Store(n.buildSnapshot())
 	var err error
 	if n.plane.refuser, err = admission.NewRefuser(n.plane.sendRefusal); err != nil {
 		return err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -250,9 +250,8 @@
 // publish makes what the core believes known to the workers and the operators.
 func (n *Node) publish(configurationChanged bool) {
 	live := n.core.Live()
-	self := membership.Member{Identity: n.core.Self(), DataAddress: n.settings.Data.Backend, Zone: n.settings.Zone}
 	state := n.core.State()
-	n.plane.snapshot.Store(steering.Build(time.Now(), state, live, self, n.keyring.Load(), &n.leaseEnds, n.signals, n.peers))
+	n.plane.snapshot.Store(n.buildSnapshot())
 	n.view.Store(&view{
 		state: state, version: n.core.Version(), live: live,
 		voter: n.core.IsVoter(), leader: n.core.IsLeader(),
@@ -263,6 +262,14 @@
 	}
 }
 
+func (n *Node) buildSnapshot() *steering.Snapshot {
+	return steering.Build(&steering.Inputs{
+		Now: time.Now(), State: n.core.State(), Live: n.core.Live(), Known: n.core.Known(),
+		Self:    membership.Member{Identity: n.core.Self(), DataAddress: n.settings.Data.Backend, Zone: n.settings.Zone},
+		Keyring: n.keyring.Load(), LeaseEnds: &n.leaseEnds, Signals: n.signals, Peers: n.peers,
+	})
+}
+
 // readPlatform keeps the machine list up to date. While the platform is down or
 // stale, what was read last stands.
 func (n *Node) readPlatform() {
--- a/internal/ownership/peers.go
+++ b/internal/ownership/peers.go
@@ -74,9 +74,9 @@
 	p.sent = 0
 }
 
-// takeSilent returns the handovers to be sent elsewhere, if the peer has turned
+// TakeSilent returns the handovers to be sent elsewhere, if the peer has turned
 // out to be silent, and lets an avoided one be tried again in time.
-func (p *Peer) takeSilent(now time.Time) []Handover {
+func (p *Peer) TakeSilent(now time.Time) []Handover {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.avoided.Load() && !now.Before(p.avoidUntil) {
@@ -143,7 +143,7 @@
 	defer p.mutex.Unlock()
 	var unanswered []Handover
 	for _, peer := range p.peers {
-		unanswered = append(unanswered, peer.takeSilent(now)...)
+		unanswered = append(unanswered, peer.TakeSilent(now)...)
 	}
 	return unanswered
 }
--- a/internal/steering/snapshot.go
+++ b/internal/steering/snapshot.go
@@ -104,22 +104,40 @@
 	}
 }
 
-// Build makes a snapshot of a configuration and a member list.
-func Build(now time.Time, state *catalog.State, live []membership.Member, self membership.Member, keyring *connectionid.Keyring, leaseEnds *atomic.Int64, signals *Signals, peers *ownership.Peers) *Snapshot {
+// Inputs are what a snapshot is made of.
+type Inputs struct {
+	Now   time.Time
+	State *catalog.State
+	Self  membership.Member
+	// Live are the daemons that may own flows. Known are also those that left
+	// lately: a leaving daemon hands over what still reaches it.
+	Live    []membership.Member
+	Known   []membership.Member
+	Keyring *connectionid.Keyring
+	// LeaseEnds is until when the configuration is confirmed, in Unix
+	// nanoseconds; it is read at each decision.
+	LeaseEnds *atomic.Int64
+	Signals   *Signals
+	Peers     *ownership.Peers
+}
+
+// Build makes a snapshot.
+func Build(inputs *Inputs) *Snapshot {
 	snapshot := &Snapshot{
-		Revision:  state.Revision,
-		Zone:      self.Zone,
-		Keyring:   keyring,
-		leaseEnds: leaseEnds,
+		Revision:  inputs.State.Revision,
+		Zone:      inputs.Self.Zone,
+		Keyring:   inputs.Keyring,
+		leaseEnds: inputs.LeaseEnds,
 		services:  map[netip.AddrPort]*Service{},
 		targets:   map[uint32]*Target{},
 		peers:     map[netip.AddrPort]bool{},
 	}
-	byNumber := snapshot.addServices(state)
-	snapshot.addTargets(now, state, byNumber, signals)
-	snapshot.addDaemons(live, self, peers)
-	signals.forgetRetired(state)
-	signals.warm = signals.warm || state.Revision > 0
+	byNumber := snapshot.addServices(inputs.State)
+	snapshot.addTargets(inputs, byNumber)
+	snapshot.addPeers(inputs)
+	snapshot.addDaemons(inputs)
+	inputs.Signals.forgetRetired(inputs.State)
+	inputs.Signals.warm = inputs.Signals.warm || inputs.State.Revision > 0
 	return snapshot
 }
 
@@ -139,13 +157,13 @@
 	return byNumber
 }
 
-func (s *Snapshot) addTargets(now time.Time, state *catalog.State, byNumber map[catalog.ServiceNumber]*Service, signals *Signals) {
-	for _, declared := range state.Targets {
+func (s *Snapshot) addTargets(inputs *Inputs, byNumber map[catalog.ServiceNumber]*Service) {
+	for _, declared := range inputs.State.Targets {
 		service := byNumber[declared.Service]
 		if service == nil || declared.State == catalog.TargetRetired {
 			continue
 		}
-		known := signals.get(declared.Number, now)
+		known := inputs.Signals.get(declared.Number, inputs.Now)
 		target := &Target{
 			Number: declared.Number, Service: service, Name: declared.Name, Address: declared.Address,
 			Names: []byte(service.Name + "/" + declared.Name), Signal: known.signal,
@@ -165,20 +183,24 @@
 	}
 }
 
-func (s *Snapshot) addDaemons(live []membership.Member, self membership.Member, peers *ownership.Peers) {
-	for _, member := range live {
-		isSelf := member.Identity == self.Identity
-		daemon := Daemon{Address: member.DataAddress, IsSelf: isSelf}
-		if !isSelf {
-			daemon.Peer = peers.Get(member.DataAddress)
+func (s *Snapshot) addPeers(inputs *Inputs) {
+	for _, member := range inputs.Known {
+		if member.Identity != inputs.Self.Identity {
+			s.peers[member.DataAddress] = true
+		}
+	}
+	inputs.Peers.Retain(s.peers)
+}
+
+func (s *Snapshot) addDaemons(inputs *Inputs) {
+	for _, member := range inputs.Live {
+		daemon := Daemon{Address: member.DataAddress, IsSelf: member.Identity == inputs.Self.Identity}
+		if !daemon.IsSelf {
+			daemon.Peer = inputs.Peers.Get(member.DataAddress)
 		}
 		s.daemons = append(s.daemons, daemon)
 		s.nodes = append(s.nodes, ownership.Node{Seed: ownership.SeedOf([]byte(member.DataAddress.String())), Weight: 1})
-		if !isSelf {
-			s.peers[member.DataAddress] = true
-		}
 	}
-	peers.Retain(s.peers)
 }
 
 // LeaseEnds returns until when the configuration is confirmed.
@@ -196,7 +218,8 @@
 // Target returns a target by number, nil if it is retired or unknown.
 func (s *Snapshot) Target(number uint32) *Target { return s.targets[number] }
 
-// IsPeer reports whether an address is a live daemon's data address.
+// IsPeer reports whether an address is the data address of a daemon that lives
+// or left lately.
 func (s *Snapshot) IsPeer(address netip.AddrPort) bool { return s.peers[address] }
 
 // Owner returns the daemon that owns a flow, nil if no daemon is known. Daemons
