Daemons as processes: kills, freezes, planned stops, rolling replacement

Cause: the path must hold between separate processes, which can be frozen and killed as parts of one cannot.

--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
@@ -32,25 +31,27 @@
 	healthFailures   = 2
 	operatorTimeout  = 20 * time.Second
 	labWorkers       = 1
+	watchRetry       = 50 * time.Millisecond
 )
 
 // daemonSlot is one machine and the daemon on it.
 type daemonSlot struct {
 	name string
 	zone string
-	node *node.Node
-	stop func()
+	// running is nil while no daemon runs.
+	running Daemon
+	stop    func()
 }
 
 // cluster is everything that runs.
 type cluster struct {
-	scenario    *Scenario
-	plan        addressPlan
-	log         logr.Logger
-	history     *history.Log
-	directory   string
-	certificate tls.Certificate
-	credentials *pki.Store
+	scenario      *Scenario
+	plan          addressPlan
+	startDaemonAt StartDaemon
+	history       *history.Log
+	directory     string
+	certificate   tls.Certificate
+	credentials   *pki.Store
 
 	fabric   *surroundings.Fabric
 	platform *surroundings.Platform
@@ -63,9 +64,9 @@
 	request int
 }
 
-func newCluster(scenario *Scenario, log logr.Logger, events *history.Log) (*cluster, error) {
+func newCluster(scenario *Scenario, start StartDaemon, events *history.Log) (*cluster, error) {
 	built := &cluster{
-		scenario: scenario, plan: newAddressPlan(), log: log, history: events,
+		scenario: scenario, plan: newAddressPlan(), startDaemonAt: start, history: events,
 		zones: map[netip.Addr]string{}, cut: map[int]bool{},
 	}
 	var err error
@@ -176,7 +177,7 @@
 	}
 	given.Keyring = filepath.Join(keys, pki.KeyringFile)
 	given.FleetKey = filepath.Join(keys, pki.FleetKeyFile)
-	running, err := node.Start(given, c.log.WithValues("daemon", slot.name), node.Options{
+	running, err := c.startDaemonAt(slot.name, given, node.Options{
 		Mode: c.scenario.Mode,
 		WrapSocket: func(socket forwarding.Socket) forwarding.Socket {
 			return surroundings.DelaySocket(socket, c.distance)
@@ -187,31 +188,31 @@
 		return err
 	}
 	c.history.Add(history.Event{Kind: history.DaemonStarted, Daemon: slot.name})
-	stopWatching := c.watchRevision(slot.name, running)
+	ctx, cancel := context.WithCancel(context.Background())
+	go c.watchRevision(ctx, slot.name, given.Operator)
 	c.mutex.Lock()
-	slot.node = running
-	slot.stop = stopWatching
+	slot.running = running
+	slot.stop = cancel
 	c.mutex.Unlock()
 	return nil
 }
 
-// watchRevision records each revision that comes into force on a daemon.
-func (c *cluster) watchRevision(name string, running *node.Node) func() {
-	ctx, cancel := context.WithCancel(context.Background())
-	go func() {
-		for {
-			changed := running.Changed()
-			if state, _ := running.Configuration(); state.Revision > 0 {
-				c.history.Add(history.Event{Kind: history.ConfigurationApplied, Daemon: name, Revision: state.Revision})
-			}
-			select {
-			case <-changed:
-			case <-ctx.Done():
-				return
+// watchRevision records each revision that comes into force on a daemon, as an
+// operator's watch sees it.
+func (c *cluster) watchRevision(ctx context.Context, name string, operator netip.AddrPort) {
+	for ctx.Err() == nil {
+		_, _ = c.callOne(ctx, operator, nil, func(ctx context.Context, client passtrayv1.OperatorClient, _ *passtrayv1.ChangeOptions) (*passtrayv1.ChangeResponse, error) {
+			stream, err := client.Watch(ctx, &passtrayv1.WatchRequest{})
+			for err == nil {
+				var configuration *passtrayv1.Configuration
+				if configuration, err = stream.Recv(); err == nil && configuration.GetRevision() > 0 {
+					c.history.Add(history.Event{Kind: history.ConfigurationApplied, Daemon: name, Revision: configuration.GetRevision()})
+				}
 			}
-		}
-	}()
-	return cancel
+			return nil, err
+		})
+		time.Sleep(watchRetry)
+	}
 }
 
 // distance is the delay between two zones, doubled because replies of targets
@@ -241,7 +242,7 @@
 	defer c.mutex.Unlock()
 	var live []*daemonSlot
 	for _, slot := range c.daemons {
-		if slot.node != nil {
+		if slot.running != nil {
 			live = append(live, slot)
 		}
 	}
@@ -249,12 +250,12 @@
 }
 
 // takeDaemon removes a daemon from the running ones, nil if it is not running.
-func (c *cluster) takeDaemon(index int) *node.Node {
+func (c *cluster) takeDaemon(index int) Daemon {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	slot := c.daemons[index]
-	running := slot.node
-	slot.node = nil
+	running := slot.running
+	slot.running = nil
 	if running != nil {
 		slot.stop()
 	}
@@ -292,7 +293,7 @@
 	defer c.mutex.Unlock()
 	for offset := range c.daemons {
 		index := (attempt + offset) % len(c.daemons)
-		if c.daemons[index].node != nil {
+		if c.daemons[index].running != nil {
 			return c.plan.daemon(index, portOperator), true
 		}
 	}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -25,6 +25,8 @@
 		c.kill(fault.Daemon)
 	case FaultStop:
 		c.stopInOrder(ctx, fault.Daemon, start)
+	case FaultPause:
+		return c.pause(fault.Daemon, start)
 	case FaultJoin:
 		return c.join()
 	case FaultDrain:
@@ -62,6 +64,31 @@
 	running.Kill()
 }
 
+// pauseSpan is long enough for the others to give a paused daemon up.
+const pauseSpan = 9 * time.Second
+
+// pause freezes a daemon for a while; it wakes with what it believed before.
+func (c *cluster) pause(index int, start func(func())) error {
+	c.mutex.Lock()
+	slot := c.daemons[index]
+	running := slot.running
+	c.mutex.Unlock()
+	if running == nil {
+		return nil
+	}
+	resume, err := running.Pause()
+	if err != nil {
+		return err
+	}
+	c.history.Add(history.Event{Kind: history.DaemonsCut, Daemon: slot.name})
+	start(func() {
+		time.Sleep(pauseSpan)
+		resume()
+		c.history.Add(history.Event{Kind: history.DaemonsJoined, Daemon: slot.name})
+	})
+	return nil
+}
+
 func (c *cluster) stopInOrder(ctx context.Context, index int, start func(func())) {
 	running := c.takeDaemon(index)
 	if running == nil {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -27,8 +27,10 @@
 
 // Options are what a run is asked for besides the scenario.
 type Options struct {
-	Logger   logr.Logger
-	Progress io.Writer
+	// StartDaemon starts each daemon; nil runs them inside this process.
+	StartDaemon StartDaemon
+	Logger      logr.Logger
+	Progress    io.Writer
 	// HistoryPath, if set, is where the history is stored.
 	HistoryPath string
 }
@@ -36,7 +38,10 @@
 // Run plays a scenario and reports.
 func Run(ctx context.Context, scenario *Scenario, options Options) (*report.Report, error) {
 	events := history.NewLog()
-	built, err := newCluster(scenario, options.Logger, events)
+	if options.StartDaemon == nil {
+		options.StartDaemon = inProcess(options.Logger)
+	}
+	built, err := newCluster(scenario, options.StartDaemon, events)
 	if err != nil {
 		return nil, err
 	}
@@ -192,7 +197,7 @@
 func (r *run) controlBytes() map[string]uint64 {
 	sent := map[string]uint64{}
 	for _, slot := range r.liveDaemons() {
-		sent[slot.name] = slot.node.Stats().ControlBytes
+		sent[slot.name] = slot.running.Stats().ControlBytes
 	}
 	return sent
 }
@@ -213,7 +218,7 @@
 	}
 	span := time.Since(r.began)
 	for _, slot := range r.liveDaemons() {
-		stats := slot.node.Stats()
+		stats := slot.running.Stats()
 		before, sameDaemon := r.control[slot.name]
 		if sameDaemon && stats.ControlBytes >= before {
 			r.collector.ControlRate(float64(stats.ControlBytes-before) / span.Seconds())
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -64,6 +64,7 @@
 	FaultKill          FaultKind = "kill"           // a daemon dies
 	FaultJoin          FaultKind = "join"           // a new daemon joins
 	FaultStop          FaultKind = "stop"           // a daemon is stopped in order
+	FaultPause         FaultKind = "pause"          // a daemon's process is frozen for 9 s
 	FaultDrain         FaultKind = "drain"          // a target is drained and ends
 	FaultCrash         FaultKind = "crash"          // a target dies
 	FaultAdd           FaultKind = "add"            // a cold target is added
@@ -75,7 +76,7 @@
 	FaultPlatformUp    FaultKind = "platform-up"    // it is well again
 )
 
-var faultsWithDaemon = map[FaultKind]bool{FaultKill: true, FaultStop: true, FaultCut: true}
+var faultsWithDaemon = map[FaultKind]bool{FaultKill: true, FaultStop: true, FaultCut: true, FaultPause: true}
 
 var faultsWithTarget = map[FaultKind]bool{FaultDrain: true, FaultCrash: true, FaultWeight: true}
 
