Simulation: the checks find each broken rule of consensus

Cause: a check that never failed proves nothing.

Change: doubles that vote for anybody, acknowledge what they lost, or restart under their old identity; a check that one index commits in one term only.

Conclusion: identity per start is needed: with the old name, an accepted change is lost when the leader dies after a follower's restart.

--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -125,6 +125,12 @@
 // Commit returns the highest index known to be committed.
 func (r *Replica) Commit() uint64 { return r.commit }
 
+// CommittedEntry returns term and index of the last entry known to be committed.
+func (r *Replica) CommittedEntry() (uint64, uint64) {
+	term, _ := r.log.termAt(r.commit)
+	return term, r.commit
+}
+
 // Voters returns the newest voters in the log.
 func (r *Replica) Voters() []identity.Identity { return r.log.votersAt(r.log.lastIndex()) }
 
--- /dev/null
+++ b/internal/simulation/broken_test.go
@@ -0,0 +1,171 @@
+package simulation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+
+	"github.com/passtray/passtray/internal/consensus"
+	"github.com/passtray/passtray/internal/control"
+	"github.com/passtray/passtray/internal/identity"
+)
+
+// voteForAll breaks the rule of one vote a term for a log no older than one's
+// own (dissertation, sections 3.4 and 3.6.1).
+func voteForAll(message *control.PeerMessage) {
+	if reply := message.Consensus; reply != nil && (reply.Kind == consensus.VoteReply || reply.Kind == consensus.PreVoteReply) {
+		reply.Accepted = true
+	}
+}
+
+// acknowledgeUnseen breaks the rule that a follower acknowledges only what it
+// holds (section 3.5): half of all entries get lost between receipt and log, and
+// are acknowledged all the same.
+func acknowledgeUnseen(fleet *Fleet) {
+	received := map[identity.Identity]uint64{}
+	fleet.Tamper = func(message *control.PeerMessage) {
+		switch content := message.Consensus; {
+		case content == nil:
+		case content.Kind == consensus.AppendRequest && len(content.Entries) > 0:
+			received[content.To] = max(received[content.To], content.LogIndex+uint64(len(content.Entries)))
+			if fleet.Random.IntN(2) == 0 {
+				content.Entries = nil
+			}
+		case content.Kind == consensus.AppendReply && content.Accepted:
+			content.LogIndex = max(content.LogIndex, received[content.From])
+		}
+	}
+}
+
+// findsFault runs schedules until a check speaks, and says which.
+func findsFault(t *testing.T, arrange func(*Fleet)) string {
+	t.Helper()
+	for seed := range uint64(60) {
+		if finding := runBroken(seed, arrange); finding != "" {
+			return fmt.Sprintf("seed %d: %s", seed, finding)
+		}
+	}
+	return ""
+}
+
+func runBroken(seed uint64, arrange func(*Fleet)) (finding string) {
+	defer func() {
+		// The core's own assertions count as checks.
+		if recovered := recover(); recovered != nil {
+			finding = fmt.Sprint("panic: ", recovered)
+		}
+	}()
+	fleet := newTestFleet(seed, 5)
+	arrange(fleet)
+	fleet.StartAll()
+	fleet.Clock.Advance(8 * time.Second)
+	crashOften(fleet, 40*time.Second)
+	history := runHistory(fleet, 45*time.Second)
+	if len(fleet.Violations) > 0 {
+		return fleet.Violations[0]
+	}
+	if porcupine.CheckOperationsTimeout(casModel, history, 5*time.Second) == porcupine.Illegal {
+		return "the history is not linearizable"
+	}
+	return ""
+}
+
+// crashOften restarts random daemons, the leader among them, at short intervals
+// and splits the fleet between.
+func crashOften(fleet *Fleet, span time.Duration) {
+	end := fleet.Clock.Now().Add(span)
+	var next func()
+	next = func() {
+		fleet.Cut = nil
+		if fleet.Clock.Now().After(end) {
+			return
+		}
+		for index, daemon := range fleet.Daemons {
+			if daemon.Core == nil {
+				fleet.Start(index)
+			}
+		}
+		if fleet.Random.IntN(2) == 0 {
+			side := fleet.Random.IntN(len(fleet.Daemons))
+			fleet.Cut = func(from, to int) bool { return (from <= side) != (to <= side) }
+		} else {
+			for range 2 {
+				fleet.Crash(fleet.Random.IntN(len(fleet.Daemons)))
+			}
+		}
+		fleet.Clock.After(time.Second+time.Duration(fleet.Random.Int64N(int64(3*time.Second))), next)
+	}
+	next()
+}
+
+func TestTheChecksFindEachBrokenRule(t *testing.T) {
+	for name, arrange := range map[string]func(*Fleet){
+		"votes for anybody":          func(fleet *Fleet) { fleet.Tamper = voteForAll },
+		"acknowledges what it lacks": acknowledgeUnseen,
+	} {
+		t.Run(name, func(t *testing.T) {
+			finding := findsFault(t, arrange)
+			assert.Assert(t, finding != "", "60 schedules with a broken rule passed every check")
+			t.Log(finding)
+		})
+	}
+}
+
+func TestTheSameSchedulesPassUnbroken(t *testing.T) {
+	for seed := range uint64(20) {
+		assert.Equal(t, runBroken(seed, func(*Fleet) {}), "", "seed %d", seed)
+	}
+}
+
+// loseVotersMemory is the schedule that a forgetful voter needs for its harm: a
+// change is committed by the leader and one follower alone, that follower
+// restarts, then the leader dies and the third comes back. It returns how many
+// changes were accepted, and the violations.
+func loseVotersMemory(seed uint64, keepIdentity bool) (int, []string) {
+	fleet := newTestFleet(seed, 3)
+	fleet.KeepIdentity = keepIdentity
+	fleet.StartAll()
+	fleet.Clock.Advance(8 * time.Second)
+	leader := 0
+	for index, daemon := range fleet.Daemons {
+		if daemon.Core.IsLeader() {
+			leader = index
+		}
+	}
+	follower, away := (leader+1)%3, (leader+2)%3
+	accepted := 0
+	note := func(result control.ProposalResult) {
+		if result.Status == control.ProposalDecided {
+			accepted++
+		}
+	}
+	fleet.Cut = func(from, to int) bool { return from == away || to == away }
+	fleet.Submit(leader, createService("one", 1), note)
+	fleet.Clock.Advance(100 * time.Millisecond)
+	fleet.Crash(follower)
+	fleet.Start(follower)
+	// Heartbeats bring the forgetful follower back into the group.
+	fleet.Clock.Advance(500 * time.Millisecond)
+	fleet.Cut = nil
+	fleet.Crash(leader)
+	fleet.Clock.Advance(8 * time.Second)
+	fleet.Submit(away, createService("two", 2), note)
+	fleet.Clock.Advance(12 * time.Second)
+	return accepted, fleet.Violations
+}
+
+func TestARestartedVoterCountsForNothingUnderItsOldName(t *testing.T) {
+	found := 0
+	for seed := range uint64(20) {
+		if _, violations := loseVotersMemory(seed, true); len(violations) > 0 {
+			found++
+		}
+		accepted, violations := loseVotersMemory(seed, false)
+		assert.Equal(t, accepted, 1, "seed %d: with two of three voters gone, nothing more may be accepted", seed)
+		assert.Equal(t, len(violations), 0, "seed %d: %v", seed, violations)
+	}
+	assert.Assert(t, found > 0, "no schedule with the old identity broke anything, so this test shows nothing")
+}
--- a/internal/simulation/fleet.go
+++ b/internal/simulation/fleet.go
@@ -32,6 +32,7 @@
 	StreamBytes   int64
 
 	generation int
+	start      uint64
 	highest    uint64
 }
 
@@ -45,6 +46,12 @@
 	// Cut reports whether messages from one daemon to another are dropped; it
 	// may differ by direction. Callers' calls to Submit are never cut.
 	Cut func(from, to int) bool
+	// Tamper, if set, may change a message on its way: a double of a daemon that
+	// breaks a rule, for showing that the checks find it.
+	Tamper func(message *control.PeerMessage)
+	// KeepIdentity makes a restarted daemon come back under its old identity, as
+	// one that trusts a lost disk would.
+	KeepIdentity bool
 	// MeasureStreams makes streams count their encoded size, at some cost.
 	MeasureStreams bool
 	// Violations are broken invariants, in words.
@@ -58,6 +65,8 @@
 	token     uint64
 	leaders   map[string]identity.Identity
 	states    map[string][]byte
+	// committed is the term of each committed index that any replica held.
+	committed map[string]uint64
 }
 
 // NewFleet makes count machines spread over zones; none runs a daemon yet.
@@ -71,6 +80,7 @@
 		results:   map[uint64]func(control.ProposalResult){},
 		leaders:   map[string]identity.Identity{},
 		states:    map[string][]byte{},
+		committed: map[string]uint64{},
 	}
 	for index := range count {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(index >> 16), byte(index >> 8), byte(index)}), controlPort)
@@ -96,6 +106,10 @@
 		DataAddress: daemon.Address,
 		Zone:        daemon.Zone,
 	}
+	if f.KeepIdentity && daemon.start != 0 {
+		self.Identity.Start = daemon.start
+	}
+	daemon.start = self.Identity.Start
 	daemon.Core = control.NewCore(f.Config, self, now, rand.New(rand.NewPCG(f.Random.Uint64(), uint64(index))))
 	daemon.Core.SetSeeds(f.seeds)
 	generation := daemon.generation
@@ -205,6 +219,9 @@
 	if !exists || f.isCut(from, to) || f.Random.Float64() < f.Network.Loss/10 {
 		return
 	}
+	if f.Tamper != nil {
+		f.Tamper(&message.Message)
+	}
 	f.deliver(to, func(core *control.Core, now time.Time) control.Output {
 		return core.HandleStream(now, &message.Message)
 	})
@@ -237,8 +254,9 @@
 }
 
 // check holds a daemon against the safety properties after each of its steps:
-// one leader a term (election safety), one state an index (state machine
-// safety), and no revision that falls.
+// one leader a term (election safety), one term a committed index (log matching,
+// leader completeness), one state a version (state machine safety), and no
+// revision that falls.
 func (f *Fleet) check(index int, daemon *Daemon) {
 	replica := daemon.Core.Replica()
 	if daemon.Core.IsLeader() {
@@ -248,6 +266,7 @@
 		}
 		f.leaders[key] = daemon.Core.Self()
 	}
+	f.checkCommitted(index, daemon)
 	revision := daemon.Core.State().Revision
 	if revision < daemon.highest {
 		f.violate("daemon %d fell from revision %d to %d", index, daemon.highest, revision)
@@ -258,6 +277,21 @@
 	daemon.highest = max(daemon.highest, revision)
 }
 
+// checkCommitted holds that one index is committed in one term only, or an
+// accepted entry was replaced (leader completeness and log matching).
+func (f *Fleet) checkCommitted(index int, daemon *Daemon) {
+	replica := daemon.Core.Replica()
+	term, committed := replica.CommittedEntry()
+	if replica.Epoch().IsZero() || committed == 0 {
+		return
+	}
+	key := fmt.Sprint(replica.Epoch(), committed)
+	if other, known := f.committed[key]; known && other != term {
+		f.violate("daemon %d has %s committed in term %d, another in term %d", index, key, term, other)
+	}
+	f.committed[key] = term
+}
+
 func (f *Fleet) checkState(index int, daemon *Daemon) {
 	version := daemon.Core.Version()
 	key := fmt.Sprint(version)
