Scale: hollow daemons in virtual time, measured for traffic, processor and memory

Change: passtray-lab scale runs whole control cores, many to a process, with changes, kills and freezes, and reports what one daemon costs.

--- a/internal/lab/labctl/labctl.go
+++ b/internal/lab/labctl/labctl.go
@@ -47,6 +47,7 @@
 	}{
 		{"run", "play a scenario and report", &runCommand{program: shared}},
 		{"check", "judge a stored history", &checkCommand{program: shared}},
+		{"scale", "run hollow daemons in virtual time and measure what one costs", &scaleCommand{program: shared}},
 	} {
 		if _, err := parser.AddCommand(command.name, command.help, "", command.data); err != nil {
 			panic(err)
