Membership: ticks look only at members with something to expire

Cause: at 300 hollow members, 38 % of processor time went into walking all members every 50 ms, 15 % into copying them for each random pick (profile).

Change: the unsettled members are kept as a set; few random members are drawn one by one.

--- a/internal/membership/group.go
+++ b/internal/membership/group.go
@@ -46,6 +46,9 @@
 
 	self    Member
 	members map[identity.Identity]*memberState
+	// unsettled are the members with something to expire: suspects, dead and
+	// left. They are few, so that a tick need not look at all.
+	unsettled map[identity.Identity]bool
 	// current is the newest identity at each address.
 	current map[netip.AddrPort]identity.Identity
 	seeds   []netip.AddrPort
@@ -70,13 +73,14 @@
 func NewGroup(config Config, self Member, random *rand.Rand) *Group {
 	self.Status = Alive
 	group := &Group{
-		config:  config,
-		random:  random,
-		limiter: rate.NewLimiter(rate.Limit(config.BytesPerSecond), config.BurstBytes),
-		self:    self,
-		members: map[identity.Identity]*memberState{},
-		current: map[netip.AddrPort]identity.Identity{},
-		relays:  map[uint64]relay{},
+		config:    config,
+		random:    random,
+		limiter:   rate.NewLimiter(rate.Limit(config.BytesPerSecond), config.BurstBytes),
+		self:      self,
+		members:   map[identity.Identity]*memberState{},
+		unsettled: map[identity.Identity]bool{},
+		current:   map[netip.AddrPort]identity.Identity{},
+		relays:    map[uint64]relay{},
 	}
 	group.queue.addMember(self)
 	return group
@@ -173,6 +177,10 @@
 }
 
 func (g *Group) applyStatus(now time.Time, state *memberState) {
+	delete(g.unsettled, state.Identity)
+	if state.Status != Alive {
+		g.unsettled[state.Identity] = true
+	}
 	switch state.Status {
 	case Suspect:
 		state.suspectUntil = now.Add(g.suspicionTimeout())
@@ -244,9 +252,16 @@
 
 // pick returns up to count random live members other than this one.
 func (g *Group) pick(count int, skip func(identity.Identity) bool) []identity.Identity {
+	live := g.Live()
+	eligible := func(member identity.Identity) bool {
+		return member != g.self.Identity && (skip == nil || !skip(member))
+	}
+	if count*sparsePick < len(live) {
+		return g.pickFew(count, live, eligible)
+	}
 	var candidates []identity.Identity
-	for _, member := range g.Live() {
-		if member.Identity != g.self.Identity && (skip == nil || !skip(member.Identity)) {
+	for _, member := range live {
+		if eligible(member.Identity) {
 			candidates = append(candidates, member.Identity)
 		}
 	}
@@ -254,6 +269,25 @@
 	return candidates[:min(count, len(candidates))]
 }
 
+// sparsePick is how many times more members than wanted make drawing single
+// ones cheaper than shuffling all.
+const sparsePick = 8
+
+// pickFew draws single members until it has enough; most draws succeed.
+func (g *Group) pickFew(count int, live []Member, eligible func(identity.Identity) bool) []identity.Identity {
+	var picked []identity.Identity
+	for range count * sparsePick {
+		candidate := live[g.random.IntN(len(live))].Identity
+		if eligible(candidate) && !slices.Contains(picked, candidate) {
+			picked = append(picked, candidate)
+		}
+		if len(picked) == count {
+			break
+		}
+	}
+	return picked
+}
+
 // sendMessage adds the sender, the digest and, within room and budget, news.
 func (g *Group) sendMessage(to netip.AddrPort, content message, room int, output *Output) {
 	content.From = g.self.Identity
--- a/internal/membership/tick.go
+++ b/internal/membership/tick.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -44,21 +45,22 @@
 		return
 	}
 	g.probe = nil
-	for _, state := range g.members {
-		if state.Status == Suspect {
+	for member := range g.unsettled {
+		if state := g.members[member]; state.Status == Suspect {
 			state.suspectUntil = state.suspectUntil.Add(late)
 		}
 	}
 }
 
 func (g *Group) expireSuspects(now time.Time, output *Output) {
-	for _, member := range g.sortedMembers() {
+	for _, member := range g.sortedUnsettled() {
 		state := g.members[member]
 		switch {
 		case state.Status == Suspect && !now.Before(state.suspectUntil):
 			g.declare(now, state, Dead, output)
 		case !state.IsLive() && !now.Before(state.forgetAt):
 			delete(g.members, member)
+			delete(g.unsettled, member)
 			g.queue.forget(member)
 			if g.current[member.Address] == member {
 				delete(g.current, member.Address)
@@ -72,17 +74,13 @@
 	}
 }
 
-// sortedMembers gives a fixed order to what is done to several members, so that
-// a seeded run repeats. Only members with something to expire are listed.
-func (g *Group) sortedMembers() []identity.Identity {
-	var members []identity.Identity
-	for member, state := range g.members {
-		if state.Status != Alive {
-			members = append(members, member)
-		}
+// sortedUnsettled gives a fixed order to what is done to several members, so
+// that a seeded run repeats.
+func (g *Group) sortedUnsettled() []identity.Identity {
+	if len(g.unsettled) == 0 {
+		return nil
 	}
-	slices.SortFunc(members, identity.Identity.Compare)
-	return members
+	return slices.SortedFunc(maps.Keys(g.unsettled), identity.Identity.Compare)
 }
 
 // followProbe asks others when the member is silent, and suspects it when they
