Balance: a target is cold by its age, not by when a daemon first heard of it

A daemon that got the configuration in two updates held the second part's targets for cold and gave them a tenth. Besides, a stale busy slot weighed as much as half the connections.

Change: the catalog keeps when a target was added; busy reports fade within 0.3 s and weigh at most 30 %; own picks fade within 0.15 s. Targets count begun handshakes, so that strays can be told.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -58,6 +58,7 @@
 	slots     chan struct{}
 	open      sync.WaitGroup
 	draining  atomic.Bool
+	attempts  atomic.Uint64
 }
 
 // Listen opens the target's address. Zero round-trip data is off: a request
@@ -84,6 +85,7 @@
 }
 
 func (l *Listener) admit(settings *quic.Config) (*quic.Config, error) {
+	l.attempts.Add(1)
 	if l.draining.Load() {
 		return nil, errDraining
 	}
@@ -124,6 +126,10 @@
 	}, nil
 }
 
+// Attempts returns how many handshakes clients have begun here, those refused
+// and those never ended among them.
+func (l *Listener) Attempts() uint64 { return l.attempts.Load() }
+
 // Connections returns how many connections are open.
 func (l *Listener) Connections() uint32 { return l.packets.connections.Load() }
 
--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -14,8 +14,7 @@
 	Cap uint32
 	// Zone is where the target stands.
 	Zone string
-	// Since is when this daemon first heard of the target, zero if it was
-	// there from the start.
+	// Since is when the target was added, by the operators' clock.
 	Since time.Time
 }
 
@@ -29,6 +28,9 @@
 	maximumEjectedShare = 0.5
 	// remoteZonePenalty makes a target elsewhere look this much more loaded.
 	remoteZonePenalty = 1.05
+	// busyPenalty is how much more loaded a target with all slots busy looks. It
+	// is moderate: slots turn over fast, and connections stay.
+	busyPenalty = 0.3
 )
 
 // Request is what a pick depends on besides the candidates.
@@ -105,9 +107,6 @@
 
 func (r *Request) effectiveWeight(candidate *Candidate) float64 {
 	weight := float64(candidate.Weight)
-	if candidate.Since.IsZero() {
-		return weight
-	}
 	age := r.Now.Sub(candidate.Since)
 	if age >= slowStart {
 		return weight
@@ -119,7 +118,7 @@
 // weight, raised by busy slots and by standing in another zone.
 func (r *Request) score(candidate *Candidate) float64 {
 	score := (candidate.Signal.Connections(r.Now) + 1) / r.effectiveWeight(candidate)
-	score *= 1 + candidate.Signal.busyShare(r.Now)
+	score *= 1 + busyPenalty*candidate.Signal.busyShare(r.Now)
 	if candidate.Zone != r.Zone {
 		score *= remoteZonePenalty
 	}
--- a/internal/balance/signal.go
+++ b/internal/balance/signal.go
@@ -15,12 +15,12 @@
 	// wordLifetime is how long a target's own word on accepting or draining
 	// counts as fresh.
 	wordLifetime = 5 * time.Second
-	// loadHalfLife is how fast trust in a reported load fades: the report of a
-	// target that has gone quiet says little of its load now.
-	loadHalfLife = 10 * time.Second
+	// busyHalfLife is how fast a report of busy slots fades. Requests are short,
+	// and a target's last packet of one still counts its slot as busy.
+	busyHalfLife = 300 * time.Millisecond
 	// pickLifetime is about how long a target needs to show a new flow in its
 	// reports; own picks fade with it.
-	pickLifetime = 500 * time.Millisecond
+	pickLifetime = 150 * time.Millisecond
 	// ejectionAfter is how many first flights in a row must stay unanswered
 	// before a target is taken out, and ejectionBase for how long at first.
 	ejectionAfter = 3
@@ -113,13 +113,12 @@
 	return float64(s.connections.Load()) + s.recentPicks(now)
 }
 
-// busyShare is the share of slots busy, fading to one half with age.
+// busyShare is the share of slots busy, fading with the report's age.
 func (s *Signal) busyShare(now time.Time) float64 {
 	slots := s.slots.Load()
 	if slots == 0 {
 		return 0
 	}
-	age := float64(now.UnixNano()-s.reportedAt.Load()) / float64(loadHalfLife)
-	trust := math.Exp2(-max(age, 0))
-	return trust*float64(s.busy.Load())/float64(slots) + (1-trust)/2
+	age := float64(now.UnixNano()-s.reportedAt.Load()) / float64(busyHalfLife)
+	return math.Exp2(-max(age, 0)) * float64(s.busy.Load()) / float64(slots)
 }
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -99,6 +99,9 @@
 	// HeldUntil is the Unix second until which the address of a retired target
 	// is refused to another service.
 	HeldUntil int64 `cbor:"8,keyasint,omitempty"`
+	// AddedAt is the Unix second at which the target was added. It is cold for a
+	// while from then.
+	AddedAt int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Outcome answers a change.
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -62,8 +62,12 @@
 	zones   map[netip.Addr]string
 	cut     map[int]bool
 	request int
+	// ended sums up the targets that run no more.
+	ended endedTargets
 }
 
+type endedTargets struct{ attempts uint64 }
+
 func newCluster(scenario *Scenario, start StartDaemon, events *history.Log) (*cluster, error) {
 	built := &cluster{
 		scenario: scenario, plan: newAddressPlan(), startDaemonAt: start, history: events,
@@ -392,6 +396,7 @@
 	for index, target := range c.targets {
 		if target.FullName() == fullName {
 			c.targets = append(c.targets[:index:index], c.targets[index+1:]...)
+			c.ended.attempts += target.Attempts()
 			return target
 		}
 	}
--- a/internal/lab/report/collector.go
+++ b/internal/lab/report/collector.go
@@ -139,6 +139,8 @@
 	Processor   time.Duration
 	Dials       uint64
 	FailedDials uint64
+	// Attempts are the handshakes begun at targets.
+	Attempts uint64
 }
 
 // Finish judges the history and makes the report.
@@ -147,7 +149,7 @@
 	defer c.mutex.Unlock()
 	made := &Report{
 		Mode: c.mode, Seed: c.seed, Seconds: totals.Span.Seconds(),
-		Dials: totals.Dials, FailedDials: totals.FailedDials,
+		Dials: totals.Dials, FailedDials: totals.FailedDials, Attempts: totals.Attempts,
 		ProcessCPUSeconds: totals.Processor.Seconds(),
 		Actions:           c.actions, Drops: c.drops,
 		Verdicts: history.Check(events), samples: c.samples, lastLoads: c.last,
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -50,6 +50,7 @@
 	Seconds           float64            `json:"seconds"`
 	Dials             uint64             `json:"dials"`
 	FailedDials       uint64             `json:"failed_dials"`
+	Attempts          uint64             `json:"handshakes_begun_at_targets"`
 	FeedsOpened       int                `json:"feeds_opened"`
 	FeedsBroken       int                `json:"feeds_broken"`
 	ForeignPackets    int                `json:"foreign_packets"`
@@ -80,14 +81,13 @@
 	return true
 }
 
-// StrayHandshakes is how many connections targets accepted beyond the
-// handshakes that callers completed, per thousand dials.
+// StrayHandshakes is how many handshakes were begun at targets and not ended
+// there, per thousand dials.
 func (r *Report) StrayHandshakes() float64 {
-	completed := int(r.Dials - r.FailedDials)
-	if r.Dials == 0 || r.AcceptedByTargets <= completed {
+	if r.Dials == 0 || r.Attempts <= uint64(r.AcceptedByTargets) {
 		return 0
 	}
-	return 1000 * float64(r.AcceptedByTargets-completed) / float64(r.Dials)
+	return 1000 * float64(r.Attempts-uint64(r.AcceptedByTargets)) / float64(r.Dials)
 }
 
 func (r *Report) countEvents(events []history.Event) {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -232,12 +232,16 @@
 			return nil, err
 		}
 	}
+	attempts := r.ended.attempts
+	for _, target := range r.runningTargets() {
+		attempts += target.Attempts()
+	}
 	dials, failed := uint64(0), uint64(0)
 	for _, callers := range r.callers {
 		dials += callers.Dials.Load()
 		failed += callers.Failed.Load()
 	}
 	return r.collector.Finish(report.Totals{
-		Span: span, Processor: processorTime() - r.processor, Dials: dials, FailedDials: failed,
+		Span: span, Processor: processorTime() - r.processor, Dials: dials, FailedDials: failed, Attempts: attempts,
 	}, events), nil
 }
--- a/internal/lab/workload/target.go
+++ b/internal/lab/workload/target.go
@@ -95,6 +95,9 @@
 // IsDraining reports whether the target is leaving.
 func (t *Target) IsDraining() bool { return t.listener.IsDraining() }
 
+// Attempts returns how many handshakes were begun here.
+func (t *Target) Attempts() uint64 { return t.listener.Attempts() }
+
 // Accepted returns how many connections were accepted so far.
 func (t *Target) Accepted() uint64 { return t.accepted.Load() }
 
--- a/internal/node/forwarding_bench_test.go
+++ b/internal/node/forwarding_bench_test.go
@@ -84,7 +84,7 @@
 	}
 	self := membership.Member{}
 	plane.snapshot.Store(steering.Build(&steering.Inputs{
-		Now: time.Now(), State: state, Self: self, Live: []membership.Member{self}, Keyring: keyring,
+		State: state, Self: self, Live: []membership.Member{self}, Keyring: keyring,
 		LeaseEnds: &atomic.Int64{}, Signals: steering.NewSignals(), Peers: ownership.NewPeers(),
 	}))
 	return plane
--- a/internal/steering/decide_test.go
+++ b/internal/steering/decide_test.go
@@ -60,7 +60,7 @@
 		live = append(live, testMember(number+1))
 	}
 	return Build(&Inputs{
-		Now: time.Unix(1000, 0), State: state, Live: live, Known: live, Self: testMember(1),
+		State: state, Live: live, Known: live, Self: testMember(1),
 		Keyring: testKeyring(t), LeaseEnds: &atomic.Int64{}, Signals: NewSignals(), Peers: ownership.NewPeers(),
 	})
 }
--- a/internal/steering/snapshot.go
+++ b/internal/steering/snapshot.go
@@ -67,33 +67,22 @@
 	peers    map[netip.AddrPort]bool
 }
 
-// Signals keeps one signal and the time of first sight for every target through
-// changes of configuration. It is used by one goroutine only.
+// Signals keeps one signal for every target through changes of configuration. It
+// is used by one goroutine only.
 type Signals struct {
-	byNumber map[catalog.TargetNumber]*knownTarget
-	warm     bool
-}
-
-type knownTarget struct {
-	signal *balance.Signal
-	since  time.Time
+	byNumber map[catalog.TargetNumber]*balance.Signal
 }
 
 // NewSignals makes an empty set.
-func NewSignals() *Signals { return &Signals{byNumber: map[catalog.TargetNumber]*knownTarget{}} }
-
-// get returns a target's signal. Targets of the first configuration a daemon
-// sees were there before it, so they are not cold.
-func (s *Signals) get(number catalog.TargetNumber, now time.Time) *knownTarget {
-	known := s.byNumber[number]
-	if known == nil {
-		known = &knownTarget{signal: &balance.Signal{}}
-		if s.warm {
-			known.since = now
-		}
-		s.byNumber[number] = known
+func NewSignals() *Signals { return &Signals{byNumber: map[catalog.TargetNumber]*balance.Signal{}} }
+
+func (s *Signals) get(number catalog.TargetNumber) *balance.Signal {
+	signal := s.byNumber[number]
+	if signal == nil {
+		signal = &balance.Signal{}
+		s.byNumber[number] = signal
 	}
-	return known
+	return signal
 }
 
 func (s *Signals) forgetRetired(state *catalog.State) {
@@ -106,7 +95,6 @@
 
 // Inputs are what a snapshot is made of.
 type Inputs struct {
-	Now   time.Time
 	State *catalog.State
 	Self  membership.Member
 	// Live are the daemons that may own flows. Known are also those that left
@@ -137,7 +125,6 @@
 	snapshot.addPeers(inputs)
 	snapshot.addDaemons(inputs)
 	inputs.Signals.forgetRetired(inputs.State)
-	inputs.Signals.warm = inputs.Signals.warm || inputs.State.Revision > 0
 	return snapshot
 }
 
@@ -163,10 +150,10 @@
 		if service == nil || declared.State == catalog.TargetRetired {
 			continue
 		}
-		known := inputs.Signals.get(declared.Number, inputs.Now)
+		signal := inputs.Signals.get(declared.Number)
 		target := &Target{
 			Number: declared.Number, Service: service, Name: declared.Name, Address: declared.Address,
-			Names: []byte(service.Name + "/" + declared.Name), Signal: known.signal,
+			Names: []byte(service.Name + "/" + declared.Name), Signal: signal,
 		}
 		s.targets[uint32(declared.Number)] = target
 		if declared.State != catalog.TargetActive || declared.Weight == 0 {
@@ -174,8 +161,8 @@
 		}
 		service.Targets = append(service.Targets, target)
 		service.Candidates = append(service.Candidates, balance.Candidate{
-			Signal: known.signal, Weight: declared.Weight, Cap: service.Limits.ConnectionsPerTarget,
-			Zone: declared.Zone, Since: known.since,
+			Signal: signal, Weight: declared.Weight, Cap: service.Limits.ConnectionsPerTarget,
+			Zone: declared.Zone, Since: time.Unix(declared.AddedAt, 0),
 		})
 		service.Nodes = append(service.Nodes, ownership.Node{
 			Seed: ownership.SeedOf(target.Names), Weight: float64(declared.Weight),
