Targets learn the operators' drain in band

Cause: a daemon cut off from the configuration must learn of a drain, which only the target can tell it.

Change: each datagram to a target says whether the operators drain it; the kit refuses new connections from then on and reports draining to every daemon. Old news, by epoch and revision, is ignored. Probes go to draining targets too.

Conclusion: a target need not be told separately; IsDraining shows it.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -57,7 +57,6 @@
 	listener  *quic.Listener
 	slots     chan struct{}
 	open      sync.WaitGroup
-	draining  atomic.Bool
 	attempts  atomic.Uint64
 }
 
@@ -86,7 +85,7 @@
 
 func (l *Listener) admit(settings *quic.Config) (*quic.Config, error) {
 	l.attempts.Add(1)
-	if l.draining.Load() {
+	if l.packets.isDraining() {
 		return nil, errDraining
 	}
 	if maximum := l.packets.config.MaximumConnections; maximum > 0 && l.packets.connections.Load() >= maximum {
@@ -139,12 +138,13 @@
 // Drain refuses new connections from now on and tells the daemons so with every
 // packet. Open connections go on.
 func (l *Listener) Drain() {
-	l.draining.Store(true)
 	l.packets.draining.Store(true)
 }
 
-// IsDraining reports whether Drain was called.
-func (l *Listener) IsDraining() bool { return l.draining.Load() }
+// IsDraining reports whether Drain was called, or the operators have drained the
+// target: daemons say so with every datagram. A server may wait for it and then
+// for WaitIdle, and exit.
+func (l *Listener) IsDraining() bool { return l.packets.isDraining() }
 
 // WaitIdle waits until every accepted connection has ended.
 func (l *Listener) WaitIdle(ctx context.Context) error {
--- a/backend/packetconn.go
+++ b/backend/packetconn.go
@@ -24,6 +24,10 @@
 	paths   *returnPaths
 
 	mutex sync.Mutex
+	// revision is the highest that a daemon has named, operatorsDrain what it
+	// said of this target.
+	revision       uint64
+	operatorsDrain bool
 	// routes are this target's numbers, the newest last. It has several only
 	// after the fleet was formed anew.
 	routes []connectionid.Route
@@ -116,6 +120,7 @@
 			c.dropped.Add(1)
 			continue
 		}
+		c.noteDrain(&header)
 		now := time.Now()
 		c.paths.heard(now, source)
 		if offset == length {
@@ -146,12 +151,35 @@
 		return false
 	}
 	c.routes = append(c.routes, route)
+	c.revision = 0
+	c.operatorsDrain = false
 	if excess := len(c.routes) - maximumRoutes; excess > 0 {
 		c.routes = c.routes[excess:]
 	}
 	return true
 }
 
+// noteDrain takes in the operators' word on this target, unless it is older than
+// one heard before. Numbers that are new begin a new count: the fleet was formed
+// anew.
+func (c *PacketConn) noteDrain(header *encapsulation.Header) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	newest := c.routes[len(c.routes)-1]
+	if newest.Target != header.TargetNumber || header.Revision < c.revision {
+		return
+	}
+	c.revision = header.Revision
+	c.operatorsDrain = header.Draining
+}
+
+// isDraining reports whether the server itself or the operators drain it.
+func (c *PacketConn) isDraining() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.draining.Load() || c.operatorsDrain
+}
+
 func (c *PacketConn) isDaemon(address netip.Addr) bool {
 	if len(c.config.Daemons) == 0 {
 		return true
@@ -174,7 +202,7 @@
 func (c *PacketConn) replyHeader(caller, service netip.AddrPort) encapsulation.Header {
 	route, _ := c.route()
 	state := encapsulation.TargetAccepting
-	if c.draining.Load() {
+	if c.isDraining() {
 		state = encapsulation.TargetDraining
 	}
 	return encapsulation.Header{
--- a/internal/encapsulation/header.go
+++ b/internal/encapsulation/header.go
@@ -65,9 +65,14 @@
 	Caller  netip.AddrPort
 	Service netip.AddrPort
 	// ServiceNumber, TargetNumber and Revision are the route (not KindFabric).
+	// A higher Revision is a newer configuration.
 	ServiceNumber uint32
 	TargetNumber  uint32
 	Revision      uint64
+	// Draining says that the operators drain the target (KindToTarget). So a
+	// target learns it from any daemon that knows, and tells in its reports all
+	// the others, also those cut off from the configuration.
+	Draining bool
 	// Ingress is the daemon that must return replies, if valid.
 	Ingress netip.AddrPort
 	// Report is the target's word (KindFromTarget).
@@ -91,7 +96,7 @@
 	addressesSizeIPv4 = 12
 	addressesSizeIPv6 = 36
 	valueHeaderSize   = 3
-	routeSize         = 17
+	routeSize         = 18
 	addressValueSize  = 18
 	reportSize        = 13
 
@@ -129,6 +134,7 @@
 		destination = binary.BigEndian.AppendUint32(destination, header.ServiceNumber)
 		destination = binary.BigEndian.AppendUint32(destination, header.TargetNumber)
 		destination = binary.BigEndian.AppendUint64(destination, header.Revision)
+		destination = append(destination, flagsOf(header))
 	}
 	if header.Ingress.IsValid() {
 		address := header.Ingress.Addr().As16()
@@ -147,6 +153,16 @@
 	return destination
 }
 
+// flagDraining is the bit of the route value's last byte that Draining sets.
+const flagDraining = 1
+
+func flagsOf(header *Header) byte {
+	if header.Draining {
+		return flagDraining
+	}
+	return 0
+}
+
 func appendAddresses(destination []byte, caller, service netip.AddrPort) []byte {
 	callerAddress, serviceAddress := caller.Addr().Unmap(), service.Addr().Unmap()
 	if callerAddress.Is4() && serviceAddress.Is4() {
@@ -243,6 +259,7 @@
 		header.ServiceNumber = binary.BigEndian.Uint32(value[1:])
 		header.TargetNumber = binary.BigEndian.Uint32(value[5:])
 		header.Revision = binary.BigEndian.Uint64(value[9:])
+		header.Draining = value[17]&flagDraining != 0
 	case typeIngress:
 		if len(value) != addressValueSize {
 			return ErrValue
--- a/internal/encapsulation/header_test.go
+++ b/internal/encapsulation/header_test.go
@@ -27,6 +27,7 @@
 	}
 	if kind == KindToTarget {
 		header.Names = []byte("roster/roster-1")
+		header.Draining = true
 	}
 	return header
 }
@@ -42,6 +43,7 @@
 		assert.Equal(t, got.Caller, want.Caller)
 		assert.Equal(t, got.Ingress, want.Ingress)
 		assert.Equal(t, got.Report, want.Report)
+		assert.Equal(t, got.Draining, want.Draining)
 		assert.Equal(t, got.TargetNumber, want.TargetNumber)
 		assert.Equal(t, string(got.Names), string(want.Names))
 	}
--- a/internal/node/data.go
+++ b/internal/node/data.go
@@ -128,11 +128,9 @@
 	}
 	n.nextProbe = now.Add(probeInterval)
 	snapshot := n.plane.snapshot.Load()
-	for _, service := range snapshot.Services() {
-		for _, target := range service.Targets {
-			if snapshot.Watches(target, watchersPerTarget) {
-				n.plane.probe(snapshot, target)
-			}
+	for _, target := range snapshot.Targets() {
+		if snapshot.Watches(target, watchersPerTarget) {
+			n.plane.probe(snapshot, target)
 		}
 	}
 }
--- a/internal/node/dataplane.go
+++ b/internal/node/dataplane.go
@@ -168,6 +168,7 @@
 	header.ServiceNumber = uint32(target.Service.Number)
 	header.TargetNumber = uint32(target.Number)
 	header.Revision = snapshot.Revision
+	header.Draining = target.Draining
 	header.Names = nil
 	if withNames {
 		header.Names = target.Names
--- a/internal/node/dataplane_backend.go
+++ b/internal/node/dataplane_backend.go
@@ -158,7 +158,7 @@
 	header := encapsulation.Header{
 		Kind: encapsulation.KindToTarget, Caller: d.self, Service: target.Service.Address,
 		ServiceNumber: uint32(target.Service.Number), TargetNumber: uint32(target.Number),
-		Revision: snapshot.Revision, Names: target.Names,
+		Revision: snapshot.Revision, Draining: target.Draining, Names: target.Names,
 	}
 	writeOne(d.backend, target.Address, encapsulation.Append(nil, &header))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -264,7 +264,7 @@
 
 func (n *Node) buildSnapshot() *steering.Snapshot {
 	return steering.Build(&steering.Inputs{
-		State: n.core.State(), Live: n.core.Live(), Known: n.core.Known(),
+		State: n.core.State(), Epoch: n.core.Version().Epoch.Number, Live: n.core.Live(), Known: n.core.Known(),
 		Self:    membership.Member{Identity: n.core.Self(), DataAddress: n.settings.Data.Backend, Zone: n.settings.Zone},
 		Keyring: n.keyring.Load(), LeaseEnds: &n.leaseEnds, Signals: n.signals, Peers: n.peers,
 	})
--- a/internal/steering/snapshot.go
+++ b/internal/steering/snapshot.go
@@ -21,6 +21,8 @@
 	Service *Service
 	Name    string
 	Address netip.AddrPort
+	// Draining says that the operators drain it.
+	Draining bool
 	// Names is "service/target", by which a target recognises itself.
 	Names  []byte
 	Signal *balance.Signal
@@ -51,6 +53,8 @@
 
 // Snapshot is what a daemon believes at one moment. It is immutable.
 type Snapshot struct {
+	// Revision orders configurations: the epoch's number above epochShift, the
+	// catalog's revision below.
 	Revision uint64
 	Zone     string
 	Keyring  *connectionid.Keyring
@@ -93,9 +97,14 @@
 	}
 }
 
+// epochShift leaves room for 2^48 changes in an epoch.
+const epochShift = 48
+
 // Inputs are what a snapshot is made of.
 type Inputs struct {
 	State *catalog.State
+	// Epoch is the number of the epoch the state is of.
+	Epoch uint32
 	Self  membership.Member
 	// Live are the daemons that may own flows. Known are also those that left
 	// lately: a leaving daemon hands over what still reaches it.
@@ -112,7 +121,7 @@
 // Build makes a snapshot.
 func Build(inputs *Inputs) *Snapshot {
 	snapshot := &Snapshot{
-		Revision:  inputs.State.Revision,
+		Revision:  uint64(inputs.Epoch)<<epochShift | inputs.State.Revision,
 		Zone:      inputs.Self.Zone,
 		Keyring:   inputs.Keyring,
 		leaseEnds: inputs.LeaseEnds,
@@ -154,6 +163,7 @@
 		target := &Target{
 			Number: declared.Number, Service: service, Name: declared.Name, Address: declared.Address,
 			Names: []byte(service.Name + "/" + declared.Name), Signal: signal,
+			Draining: declared.State == catalog.TargetDraining,
 		}
 		s.targets[uint32(declared.Number)] = target
 		if declared.State != catalog.TargetActive || declared.Weight == 0 {
@@ -196,6 +206,9 @@
 // Daemons returns the live daemons. The slice must not be changed.
 func (s *Snapshot) Daemons() []Daemon { return s.daemons }
 
+// Targets returns all targets by number. The map must not be changed.
+func (s *Snapshot) Targets() map[uint32]*Target { return s.targets }
+
 // Service returns the service at an address, nil if there is none.
 func (s *Snapshot) Service(address netip.AddrPort) *Service { return s.services[address] }
 
