Platform documents come in through the log; balance compared in virtual time

Cause: the platform's document may be newer, stale or older than what operators changed since; and the parts of the choice had not been measured alone.

Change: an import applies what differs from the document imported last, refuses an older one, skips what cannot be; the leader reads and submits it. A model with the real picker compares it with parts left out and with baselines.

--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -71,9 +71,9 @@
 // Limits bound what a service may ask of the fleet.
 type Limits struct {
 	// NewFlowsPerSecond is over the whole region; 0 is no limit.
-	NewFlowsPerSecond uint32 `cbor:"1,keyasint,omitempty"`
+	NewFlowsPerSecond uint32 `cbor:"1,keyasint,omitempty" json:"new_flows_per_second"`
 	// ConnectionsPerTarget is the cap on open connections.
-	ConnectionsPerTarget uint32 `cbor:"2,keyasint,omitempty"`
+	ConnectionsPerTarget uint32 `cbor:"2,keyasint,omitempty" json:"connections_per_target"`
 }
 
 // Service is one declared service.
@@ -113,6 +113,8 @@
 	Number uint32 `cbor:"2,keyasint,omitempty"`
 	// Repeated says that the answer is an earlier one's.
 	Repeated bool `cbor:"3,keyasint,omitempty"`
+	// Skipped are the parts of an import that could not be, in words.
+	Skipped []string `cbor:"5,keyasint,omitempty"`
 	// Refusal is nil for an accepted change.
 	Refusal *Refusal `cbor:"4,keyasint,omitempty"`
 }
@@ -132,6 +134,8 @@
 	Services    []Service       `cbor:"4,keyasint"`
 	Targets     []Target        `cbor:"5,keyasint"`
 	Requests    []RequestRecord `cbor:"6,keyasint"`
+	// Imported is the platform's document that was imported last, nil if none.
+	Imported *Document `cbor:"7,keyasint,omitempty"`
 }
 
 // Encode returns the state's CBOR form.
--- a/internal/lab/labctl/labctl.go
+++ b/internal/lab/labctl/labctl.go
@@ -46,7 +46,9 @@
 		data any
 	}{
 		{"run", "play a scenario and report", &runCommand{program: shared}},
+		{"soak", "play a scenario under random faults, one schedule a seed", &soakCommand{program: shared}},
 		{"check", "judge a stored history", &checkCommand{program: shared}},
+		{"balance", "compare ways to choose a target, in virtual time", &balanceCommand{program: shared}},
 		{"scale", "run hollow daemons in virtual time and measure what one costs", &scaleCommand{program: shared}},
 	} {
 		if _, err := parser.AddCommand(command.name, command.help, "", command.data); err != nil {
--- /dev/null
+++ b/internal/lab/labctl/soak.go
@@ -0,0 +1,79 @@
+package labctl
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/passtray/passtray/internal/lab"
+)
+
+type soakCommand struct {
+	program   *program
+	Seeds     int           `long:"seeds" default:"10" description:"how many schedules"`
+	First     uint64        `long:"first" default:"1" description:"the first seed"`
+	Parallel  int           `long:"parallel" default:"2" description:"how many runs at once"`
+	Duration  time.Duration `long:"duration" default:"14s" description:"replaces the scenario's duration"`
+	Directory string        `long:"directory" default:"lab-out" description:"where failing histories go"`
+	Args      struct {
+		Scenario string `positional-arg-name:"SCENARIO"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute serves go-flags.
+func (c *soakCommand) Execute([]string) error {
+	scenario, err := lab.LoadScenario(c.Args.Scenario)
+	if err != nil {
+		return err
+	}
+	scenario.Duration = c.Duration
+	if err := scenario.Check(); err != nil {
+		return err
+	}
+	if err := os.MkdirAll(c.Directory, 0o755); err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	seeds := make([]uint64, c.Seeds)
+	for index := range seeds {
+		seeds[index] = c.First + uint64(index)
+	}
+	held, broken := 0, 0
+	lab.Soak(ctx, scenario, seeds, c.Parallel, c.Directory, func(result lab.SoakResult) {
+		if c.print(&result) {
+			held++
+		} else {
+			broken++
+		}
+	})
+	_, _ = fmt.Fprintf(c.program.out, "%d schedules held, %d did not\n", held, broken)
+	if broken > 0 {
+		c.program.code = ExitBroken
+	}
+	return nil
+}
+
+// print says what became of one seed and reports whether all held.
+func (c *soakCommand) print(result *lab.SoakResult) bool {
+	if result.Err != nil {
+		_, _ = fmt.Fprintf(c.program.out, "seed %d: could not run: %s\n", result.Seed, result.Err)
+		return false
+	}
+	made := result.Report
+	_, _ = fmt.Fprintf(c.program.out, "seed %d: %v: dials %d, failed %d, feeds broken %d, unknown %d, not run %d\n",
+		result.Seed, result.Faults, made.Dials, made.FailedDials, made.FeedsBroken, made.Runs.Unknown, made.Runs.NotRun)
+	if made.Holds() {
+		return true
+	}
+	for index := range made.Verdicts {
+		for _, violation := range made.Verdicts[index].Violations {
+			_, _ = fmt.Fprintf(c.program.out, "  %s: %s\n", made.Verdicts[index].Invariant, violation)
+		}
+	}
+	_, _ = fmt.Fprintf(c.program.out, "  shortest schedule that still failed: %v\n", result.Shortest)
+	return false
+}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -33,6 +33,8 @@
 	Progress    io.Writer
 	// HistoryPath, if set, is where the history is stored.
 	HistoryPath string
+	// FailedHistoryPath, if set, is where it is stored if an invariant is broken.
+	FailedHistoryPath string
 }
 
 // Run plays a scenario and reports.
@@ -50,9 +52,7 @@
 	if err := run.prepare(ctx); err != nil {
 		return nil, err
 	}
-	if err := run.play(ctx); err != nil {
-		return nil, err
-	}
+	run.play(ctx)
 	return run.finish(ctx)
 }
 
@@ -106,7 +106,7 @@
 	return nil
 }
 
-func (r *run) play(ctx context.Context) error {
+func (r *run) play(ctx context.Context) {
 	playing, cancel := context.WithTimeout(ctx, r.scenario.Duration)
 	defer cancel()
 	r.began = time.Now()
@@ -127,27 +127,26 @@
 		callers.Run(playing, r.start)
 	}
 	r.start(func() { r.sample(playing) })
-	err := r.playFaults(playing)
+	r.playFaults(playing)
 	<-playing.Done()
 	r.waiting.Wait()
-	return err
 }
 
-func (r *run) playFaults(ctx context.Context) error {
+func (r *run) playFaults(ctx context.Context) {
 	faults := slices.Clone(r.scenario.Faults)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	for index := range faults {
 		select {
 		case <-time.After(time.Until(r.began.Add(faults[index].At))):
 		case <-ctx.Done():
-			return nil
+			return
 		}
 		r.say("%6.1fs fault %s", time.Since(r.began).Seconds(), faults[index])
 		if err := r.do(ctx, &faults[index], r.start); err != nil {
-			return eris.Wrapf(err, "fault %s", faults[index])
+			// A call that no leader could commit changes nothing; the run goes on.
+			r.say("%6.1fs fault %s: %s", time.Since(r.began).Seconds(), faults[index], err)
 		}
 	}
-	return nil
 }
 
 // sample looks at the targets' loads now and then.
@@ -241,7 +240,11 @@
 		dials += callers.Dials.Load()
 		failed += callers.Failed.Load()
 	}
-	return r.collector.Finish(report.Totals{
+	made := r.collector.Finish(report.Totals{
 		Span: span, Processor: processorTime() - r.processor, Dials: dials, FailedDials: failed, Attempts: attempts,
-	}, events), nil
+	}, events)
+	if r.options.FailedHistoryPath != "" && !made.Holds() {
+		return made, history.Save(r.options.FailedHistoryPath, events)
+	}
+	return made, nil
 }
--- a/internal/lab/surroundings/platform.go
+++ b/internal/lab/surroundings/platform.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/passtray/passtray/internal/catalog"
 	"github.com/passtray/passtray/internal/platform"
 )
 
@@ -35,6 +36,8 @@
 	state   PlatformState
 	entries []platformEntry
 	frozen  platform.MachineList
+	// document is the configuration served, in whatever state.
+	document catalog.Document
 }
 
 type platformEntry struct {
@@ -51,6 +54,7 @@
 	stand := &Platform{lag: lag}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /machines", stand.serveMachines)
+	mux.HandleFunc("GET /configuration", stand.serveConfiguration)
 	stand.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() {
 		// Serve ends when the stand-in is closed.
@@ -70,6 +74,24 @@
 	p.entries = append(p.entries, platformEntry{from: from, list: platform.MachineList{Machines: machines}})
 }
 
+// SetDocument replaces the configuration document, also by an older one.
+func (p *Platform) SetDocument(document catalog.Document) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.document = document
+}
+
+func (p *Platform) serveConfiguration(writer http.ResponseWriter, _ *http.Request) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.state == PlatformDown || p.document.Revision == 0 {
+		http.Error(writer, "there is no document", http.StatusServiceUnavailable)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(p.document)
+}
+
 // SetState changes how the service behaves.
 func (p *Platform) SetState(state PlatformState) {
 	p.mutex.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,7 +26,6 @@
 	"github.com/passtray/passtray/internal/ownership"
 	"github.com/passtray/passtray/internal/peering"
 	"github.com/passtray/passtray/internal/pki"
-	"github.com/passtray/passtray/internal/platform"
 	"github.com/passtray/passtray/internal/seal"
 	"github.com/passtray/passtray/internal/settings"
 	"github.com/passtray/passtray/internal/steering"
@@ -230,7 +229,7 @@
 	if ends := n.core.LeaseEnds(); !ends.IsZero() {
 		n.leaseEnds.Store(ends.UnixNano())
 	}
-	if output.ConfigurationChanged || output.MembersChanged {
+	if output.ConfigurationChanged || output.MembersChanged || len(output.Events) > 0 {
 		n.publish(output.ConfigurationChanged)
 	}
 	for _, result := range output.Results {
@@ -270,50 +269,6 @@
 	})
 }
 
-// readPlatform keeps the machine list up to date. While the platform is down or
-// stale, what was read last stands.
-func (n *Node) readPlatform() {
-	defer n.waiting.Done()
-	reader := platform.NewReader(n.settings.Platform.URL)
-	ticker := time.NewTicker(n.settings.Platform.Interval)
-	defer ticker.Stop()
-	for {
-		list, err := reader.Machines(n.ctx)
-		if err != nil {
-			n.log.V(1).Info("platform cannot be read", telemetry.FieldReason, err.Error())
-		} else {
-			n.takeMachines(list)
-		}
-		select {
-		case <-ticker.C:
-		case <-n.ctx.Done():
-			return
-		}
-	}
-}
-
-func (n *Node) takeMachines(list platform.MachineList) {
-	seeds := append([]netip.AddrPort(nil), n.settings.Peers...)
-	for _, machine := range list.Machines {
-		if machine.Control.IsValid() {
-			seeds = append(seeds, machine.Control)
-		}
-	}
-	n.enqueue(func(time.Time) { n.core.SetSeeds(unique(seeds)) })
-}
-
-func unique(addresses []netip.AddrPort) []netip.AddrPort {
-	seen := map[netip.AddrPort]bool{}
-	var kept []netip.AddrPort
-	for _, address := range addresses {
-		if !seen[address] {
-			seen[address] = true
-			kept = append(kept, address)
-		}
-	}
-	return kept
-}
-
 // ReloadKeys reads certificates, keyring and fleet key again. On an error what
 // was loaded before stays in use.
 func (n *Node) ReloadKeys() error {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -18,6 +18,7 @@
 	"github.com/passtray/passtray/backend"
 	"github.com/passtray/passtray/internal/catalog"
 	"github.com/passtray/passtray/internal/control"
+	"github.com/passtray/passtray/internal/lab/surroundings"
 	"github.com/passtray/passtray/internal/lab/workload"
 	"github.com/passtray/passtray/internal/pki"
 	"github.com/passtray/passtray/internal/settings"
@@ -35,7 +36,7 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 60, 0, byte(10 + daemon)}), uint16(port))
 }
 
-func startSite(t *testing.T, daemons int) *site {
+func startSite(t *testing.T, daemons int, platformURL string) *site {
 	t.Helper()
 	built := &site{keys: filepath.Join(t.TempDir(), "keys")}
 	var ips []netip.Addr
@@ -53,6 +54,8 @@
 		given.Data.Workers = 1
 		given.Direct = []settings.Direct{{Listen: siteAddress(index, 8443), Service: directService}}
 		given.Peers = peers
+		given.Platform.URL = platformURL
+		given.Platform.Interval = 200 * time.Millisecond
 		given.TLS = settings.TLS{
 			Authority:   filepath.Join(built.keys, pki.AuthorityFile),
 			Certificate: filepath.Join(built.keys, "daemon.pem"), Key: filepath.Join(built.keys, "daemon-key.pem"),
@@ -179,7 +182,7 @@
 // first flights cross to their owners and replies come back by the daemon that
 // the caller knows; and it rotates the keys under open connections.
 func TestASmallSiteWithoutAFabric(t *testing.T) {
-	site := startSite(t, 3)
+	site := startSite(t, 3, "")
 	first, second := startEcho(t, site.keys, 1), startEcho(t, site.keys, 2)
 	site.submit(t, createEcho)
 	site.submit(t, addEcho(1))
@@ -216,7 +219,7 @@
 
 // TestNoTargetMeansRefusedAtOnce dials while both targets drain.
 func TestNoTargetMeansRefusedAtOnce(t *testing.T) {
-	site := startSite(t, 2)
+	site := startSite(t, 2, "")
 	startEcho(t, site.keys, 3)
 	site.submit(t, createEcho)
 	site.submit(t, addEcho(3))
@@ -236,3 +239,40 @@
 	assert.NilError(t, err)
 	assert.Equal(t, answer, "still here")
 }
+
+// TestPlatformDocumentsComeInThroughTheLog serves a document, changes a weight
+// as an operator, and serves an older document again.
+func TestPlatformDocumentsComeInThroughTheLog(t *testing.T) {
+	address := siteAddress(150, 8080)
+	stand, err := surroundings.StartPlatform(address, 0)
+	assert.NilError(t, err)
+	t.Cleanup(stand.Close)
+	document := catalog.Document{
+		Revision: 5,
+		Services: []catalog.DocumentService{{Name: "echo", Address: directService, Protocol: catalog.ProtocolQUIC, Priority: catalog.PriorityCritical}},
+		Targets:  []catalog.DocumentTarget{{Service: "echo", Name: "echo-1", Address: siteAddress(100, 9001), Zone: "zone", Weight: 100}},
+	}
+	stand.SetDocument(document)
+	site := startSite(t, 3, "http://"+address.String())
+	waitFor(t, "the import", func() bool {
+		state, _ := site.nodes[2].Configuration()
+		return state.Imported != nil && len(state.Targets) == 1
+	})
+	site.submit(t, catalog.Change{
+		RequestIdentifier: "weigh", Operation: catalog.SetTargetWeight,
+		Service: catalog.Service{Name: "echo"}, Target: catalog.Target{Name: "echo-1", Weight: 7},
+	})
+	older := document
+	older.Revision = 4
+	stand.SetDocument(older)
+	newer := document
+	newer.Revision = 6
+	newer.Targets = append(newer.Targets, catalog.DocumentTarget{Service: "echo", Name: "echo-2", Address: siteAddress(100, 9002), Zone: "zone", Weight: 100})
+	stand.SetDocument(newer)
+	waitFor(t, "the newer import", func() bool {
+		state, _ := site.nodes[1].Configuration()
+		return len(state.Targets) == 2
+	})
+	state, _ := site.nodes[1].Configuration()
+	assert.Equal(t, state.Targets[0].Weight, uint32(7), "an import took an operator's call back")
+}
--- a/internal/platform/reader.go
+++ b/internal/platform/reader.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/passtray/passtray/internal/catalog"
 )
 
 // MachineList is the platform's word on which machines exist.
@@ -50,6 +52,13 @@
 	return list, err
 }
 
+// Configuration reads the configuration document.
+func (r *Reader) Configuration(ctx context.Context) (catalog.Document, error) {
+	var document catalog.Document
+	err := r.read(ctx, "/configuration", &document)
+	return document, err
+}
+
 func (r *Reader) read(ctx context.Context, path string, into any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, r.base+path, nil)
 	if err != nil {
--- /dev/null
+++ b/internal/simulation/balance.go
@@ -0,0 +1,247 @@
+package simulation
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/passtray/passtray/internal/balance"
+	"github.com/passtray/passtray/internal/encapsulation"
+	"github.com/passtray/passtray/internal/ownership"
+)
+
+// BalancePolicy is a way to choose a target, whole or with a part left out.
+type BalancePolicy string
+
+// The policies.
+const (
+	// PolicyWhole is what daemons do.
+	PolicyWhole BalancePolicy = "passtray"
+	// PolicyNoReports chooses by own picks alone, PolicyNoPicks by reports alone.
+	PolicyNoReports BalancePolicy = "without reports"
+	PolicyNoPicks   BalancePolicy = "without own picks"
+	// PolicyRandom, PolicyModulo and PolicyRendezvous are baselines.
+	PolicyRandom     BalancePolicy = "random"
+	PolicyModulo     BalancePolicy = "modulo"
+	PolicyRendezvous BalancePolicy = "rendezvous"
+)
+
+// BalancePolicies are all of them, in the order of a table.
+func BalancePolicies() []BalancePolicy {
+	return []BalancePolicy{PolicyWhole, PolicyNoReports, PolicyNoPicks, PolicyRandom, PolicyModulo, PolicyRendezvous}
+}
+
+// BalanceConfig is a load and how well it is known.
+type BalanceConfig struct {
+	Policy  BalancePolicy
+	Daemons int
+	Targets int
+	// FeedsPerSecond open for FeedLife on average; RequestsPerSecond take
+	// RequestWork of a slot each.
+	FeedsPerSecond    float64
+	FeedLife          time.Duration
+	RequestsPerSecond float64
+	RequestWork       time.Duration
+	// ReportInterval is how often each open feed brings its target's report to
+	// some daemon; ReportLag how old it is by then.
+	ReportInterval time.Duration
+	ReportLag      time.Duration
+	// Liars is how many targets report an empty house.
+	Liars int
+	Span  time.Duration
+	Seed  uint64
+}
+
+// BalanceResult is the imbalance over the second half of a run.
+type BalanceResult struct {
+	Policy               BalancePolicy
+	ConnectionsMaxToMean float64
+	ConnectionsVariation float64
+	BusyMaxToMean        float64
+	// Waited is the share of requests that found all slots of their target busy.
+	Waited float64
+}
+
+const (
+	slotsPerTarget  = 2
+	balanceSampling = 100 * time.Millisecond
+)
+
+type balanceTarget struct {
+	connections int
+	busy        int
+	liar        bool
+}
+
+func (t *balanceTarget) report() encapsulation.Report {
+	report := encapsulation.Report{
+		State: encapsulation.TargetAccepting, BusySlots: uint16(t.busy), Slots: slotsPerTarget,
+		Connections: uint32(t.connections), MaximumConnections: 2000,
+	}
+	if t.liar {
+		report.BusySlots, report.Connections = 0, 0
+	}
+	return report
+}
+
+type balanceRun struct {
+	config     BalanceConfig
+	clock      *Clock
+	random     *rand.Rand
+	targets    []*balanceTarget
+	candidates [][]balance.Candidate
+	nodes      []ownership.Node
+	requests   int
+	waited     int
+	samples    int
+	result     BalanceResult
+}
+
+// Balance plays one policy in virtual time.
+func Balance(config BalanceConfig) BalanceResult {
+	run := &balanceRun{config: config, clock: NewClock(), random: rand.New(rand.NewPCG(config.Seed, 5))}
+	run.result.Policy = config.Policy
+	for index := range config.Targets {
+		run.targets = append(run.targets, &balanceTarget{liar: index < config.Liars})
+		run.nodes = append(run.nodes, ownership.Node{Seed: ownership.SeedOf([]byte{byte(index)}), Weight: 1})
+	}
+	for range config.Daemons {
+		candidates := make([]balance.Candidate, config.Targets)
+		for index := range candidates {
+			candidates[index] = balance.Candidate{Signal: &balance.Signal{}, Weight: 100, Cap: 2000}
+		}
+		run.candidates = append(run.candidates, candidates)
+	}
+	run.arrive(config.FeedsPerSecond, run.openFeed)
+	run.arrive(config.RequestsPerSecond, run.request)
+	run.clock.After(config.Span/2, run.sample)
+	run.clock.Advance(config.Span)
+	run.finish()
+	return run.result
+}
+
+func (r *balanceRun) arrive(perSecond float64, call func()) {
+	if perSecond <= 0 {
+		return
+	}
+	var next func()
+	next = func() {
+		call()
+		r.clock.After(r.exponential(time.Duration(float64(time.Second)/perSecond)), next)
+	}
+	r.clock.After(r.exponential(time.Duration(float64(time.Second)/perSecond)), next)
+}
+
+func (r *balanceRun) exponential(mean time.Duration) time.Duration {
+	return time.Duration(r.random.ExpFloat64() * float64(mean))
+}
+
+// choose lets the flow's owner pick.
+func (r *balanceRun) choose() int {
+	hash := r.random.Uint64()
+	switch r.config.Policy {
+	case PolicyRandom:
+		return r.random.IntN(len(r.targets))
+	case PolicyModulo:
+		return int(hash % uint64(len(r.targets)))
+	case PolicyRendezvous:
+		return ownership.Rendezvous(hash, r.nodes)
+	}
+	candidates := r.candidates[hash%uint64(r.config.Daemons)]
+	request := balance.Request{Now: r.clock.Now(), LeaseHeld: true, Excluded: -1}
+	picked := balance.Pick(&request, candidates, r.random)
+	if r.config.Policy != PolicyNoPicks {
+		candidates[picked].Signal.NotePick(r.clock.Now())
+	}
+	return picked
+}
+
+// reportTo brings a target's report, as it is now, to a random daemon later.
+func (r *balanceRun) reportTo(index int) {
+	if r.config.Policy == PolicyNoReports {
+		return
+	}
+	report := r.targets[index].report()
+	daemon := r.random.IntN(r.config.Daemons)
+	r.clock.After(r.config.ReportLag, func() {
+		r.candidates[daemon][index].Signal.Observe(r.clock.Now(), &report)
+	})
+}
+
+func (r *balanceRun) openFeed() {
+	index := r.choose()
+	r.targets[index].connections++
+	isOpen := true
+	var report func()
+	report = func() {
+		if isOpen {
+			r.reportTo(index)
+			r.clock.After(r.config.ReportInterval, report)
+		}
+	}
+	report()
+	r.clock.After(r.exponential(r.config.FeedLife), func() {
+		isOpen = false
+		r.targets[index].connections--
+	})
+}
+
+func (r *balanceRun) request() {
+	index := r.choose()
+	target := r.targets[index]
+	target.connections++
+	r.requests++
+	if target.busy >= slotsPerTarget {
+		r.waited++
+	}
+	target.busy++
+	r.reportTo(index)
+	// With all slots busy, work is shared, so it takes that much longer.
+	work := r.exponential(r.config.RequestWork) * time.Duration(1+target.busy/(slotsPerTarget+1))
+	r.clock.After(work, func() {
+		r.reportTo(index)
+		target.busy--
+		target.connections--
+	})
+}
+
+func (r *balanceRun) sample() {
+	connections := make([]float64, 0, len(r.targets))
+	busy := make([]float64, 0, len(r.targets))
+	for _, target := range r.targets {
+		connections = append(connections, float64(target.connections))
+		busy = append(busy, float64(target.busy))
+	}
+	ratio, variation := spreadOf(connections)
+	busyRatio, _ := spreadOf(busy)
+	r.result.ConnectionsMaxToMean += ratio
+	r.result.ConnectionsVariation += variation
+	r.result.BusyMaxToMean += busyRatio
+	r.samples++
+	r.clock.After(balanceSampling, r.sample)
+}
+
+func spreadOf(values []float64) (maxToMean, variation float64) {
+	total, highest := 0.0, 0.0
+	for _, value := range values {
+		total += value
+		highest = max(highest, value)
+	}
+	if total == 0 {
+		return 1, 0
+	}
+	mean := total / float64(len(values))
+	squares := 0.0
+	for _, value := range values {
+		squares += (value - mean) * (value - mean)
+	}
+	return highest / mean, math.Sqrt(squares/float64(len(values))) / mean
+}
+
+func (r *balanceRun) finish() {
+	samples := float64(max(1, r.samples))
+	r.result.ConnectionsMaxToMean /= samples
+	r.result.ConnectionsVariation /= samples
+	r.result.BusyMaxToMean /= samples
+	r.result.Waited = float64(r.waited) / float64(max(1, r.requests))
+}
