Peering: a stranger gets nothing, shown

Cause: not tested before.

Change: tests with another fleet's keys, an operator's certificate, a lie about the address, and no certificate.

Conclusion: no fault found.

--- /dev/null
+++ b/internal/peering/transport_test.go
@@ -0,0 +1,122 @@
+package peering
+
+import (
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"github.com/passtray/passtray/internal/control"
+	"github.com/passtray/passtray/internal/identity"
+	"github.com/passtray/passtray/internal/pki"
+	"github.com/passtray/passtray/internal/seal"
+)
+
+type recorder struct {
+	datagrams chan string
+	streams   chan *control.PeerMessage
+}
+
+func (r recorder) HandleDatagram(_ netip.AddrPort, datagram []byte) { r.datagrams <- string(datagram) }
+func (r recorder) HandleStream(message *control.PeerMessage)        { r.streams <- message }
+
+type member struct {
+	transport *Transport
+	recorder  recorder
+	address   netip.AddrPort
+}
+
+// makeFleet makes the keys of one fleet.
+func makeFleet(t *testing.T) string {
+	t.Helper()
+	directory := filepath.Join(t.TempDir(), "keys")
+	addresses := []netip.Addr{netip.MustParseAddr("127.0.0.1")}
+	assert.NilError(t, pki.Initialize(directory, addresses, time.Now()))
+	return directory
+}
+
+func credentialsOf(t *testing.T, directory, name string) *pki.Store {
+	t.Helper()
+	store, err := pki.Load(pki.Files{
+		Authority:   filepath.Join(directory, pki.AuthorityFile),
+		Certificate: filepath.Join(directory, name+".pem"), Key: filepath.Join(directory, name+"-key.pem"),
+	})
+	assert.NilError(t, err)
+	return store
+}
+
+func startMember(t *testing.T, directory, certificate string) *member {
+	t.Helper()
+	sealer, err := seal.Load(filepath.Join(directory, pki.FleetKeyFile))
+	assert.NilError(t, err)
+	started := &member{
+		address:  freeAddress(t),
+		recorder: recorder{datagrams: make(chan string, 16), streams: make(chan *control.PeerMessage, 16)},
+	}
+	started.transport, err = Listen(Config{
+		Address: started.address, Credentials: credentialsOf(t, directory, certificate), Sealer: sealer,
+		Handler: started.recorder, Logger: logr.Discard(),
+	})
+	assert.NilError(t, err)
+	started.transport.Start()
+	t.Cleanup(started.transport.Close)
+	return started
+}
+
+// freeAddress is one that is free for TCP now and most likely for UDP.
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func (m *member) send(to netip.AddrPort, from netip.AddrPort) {
+	message := control.PeerMessage{From: identity.Identity{Address: from, Start: 1}, GrantRequest: &control.GrantRequest{}}
+	m.transport.SendStream(to, message)
+	m.transport.SendDatagram(to, []byte("gossip"))
+}
+
+func TestMembersOfOneFleetReachEachOther(t *testing.T) {
+	keys := makeFleet(t)
+	one, two := startMember(t, keys, "daemon"), startMember(t, keys, "daemon")
+	one.send(two.address, one.address)
+	assert.Equal(t, <-two.recorder.datagrams, "gossip")
+	assert.Equal(t, (<-two.recorder.streams).From.Address, one.address)
+}
+
+// TestAStrangerGetsNothing sends with another fleet's keys, with an operator's
+// certificate, for an address the certificate does not hold, and in the clear.
+func TestAStrangerGetsNothing(t *testing.T) {
+	keys := makeFleet(t)
+	listener := startMember(t, keys, "daemon")
+	stranger := startMember(t, makeFleet(t), "daemon")
+	operator := startMember(t, keys, "operator")
+	liar := startMember(t, keys, "daemon")
+	friend := startMember(t, keys, "daemon")
+
+	stranger.send(listener.address, stranger.address)
+	operator.transport.SendStream(listener.address, control.PeerMessage{From: identity.Identity{Address: operator.address}})
+	liar.transport.SendStream(listener.address, control.PeerMessage{From: identity.Identity{Address: netip.MustParseAddrPort("10.9.9.9:7000")}})
+	connection, err := tls.Dial("tcp", listener.address.String(), &tls.Config{InsecureSkipVerify: true, NextProtos: []string{protocolName}})
+	if err == nil {
+		// With TLS 1.3 a refused client learns it at its first read.
+		_, err = connection.Read(make([]byte, 1))
+	}
+	assert.Assert(t, err != nil, "a client without a certificate was let in")
+
+	// The listener refuses four: a sealed datagram and a stream of the stranger,
+	// the operator's or the bare client's streams, and the liar's.
+	for listener.transport.Traffic().Refused.Load() < 4 {
+		time.Sleep(time.Millisecond)
+	}
+	friend.send(listener.address, friend.address)
+	assert.Equal(t, (<-listener.recorder.streams).From.Address, friend.address, "the first message let in must be the friend's")
+	assert.Equal(t, <-listener.recorder.datagrams, "gossip")
+}
