Lab daemons know peers from their settings; peering tests take own addresses

Cause: (1) soak of examples/kol-east.yaml: daemons that joined while the platform was down never got the configuration (shortest schedule: platform-down:3s, join:12.3s). They knew nobody: their only machine list was the platform's. Ruled out: gossip and pull, which never began.

Each member of the peering tests has a loopback address of its own.

Conclusion: without any known peer a daemon cannot join; settings must name some.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -72,7 +72,12 @@
 
 func settingsFile(t *testing.T, given *settings.Settings) []byte {
 	t.Helper()
+	var peers []string
+	for _, peer := range given.Peers {
+		peers = append(peers, peer.String())
+	}
 	content, err := yaml.Marshal(map[string]any{
+		"peers":  peers,
 		"region": given.Region, "zone": given.Zone, "control": given.Control.String(),
 		"operator": given.Operator.String(), "telemetry": given.Telemetry.String(),
 		"data": map[string]any{
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -172,6 +172,10 @@
 	given.Data.Fabric = c.plan.daemon(index, portFabric)
 	given.Data.FabricEgress = c.plan.at(hostFabric, portEgress)
 	given.Data.Workers = labWorkers
+	for known := range len(c.scenario.Zones) * c.scenario.DaemonsPerZone {
+		// As a settings file does, for when the platform cannot be read.
+		given.Peers = append(given.Peers, c.plan.daemon(known, portControl))
+	}
 	given.Platform.URL = "http://" + c.plan.at(hostFabric, portPlatform).String()
 	given.Platform.Interval = platformInterval
 	keys := filepath.Join(c.directory, "keys")
--- a/internal/peering/transport_test.go
+++ b/internal/peering/transport_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"crypto/tls"
-	"net"
 	"net/netip"
+	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,7 +36,10 @@
 func makeFleet(t *testing.T) string {
 	t.Helper()
 	directory := filepath.Join(t.TempDir(), "keys")
-	addresses := []netip.Addr{netip.MustParseAddr("127.0.0.1")}
+	var addresses []netip.Addr
+	for number := range uint32(maximumHosts) {
+		addresses = append(addresses, hostAddress(number))
+	}
 	assert.NilError(t, pki.Initialize(directory, addresses, time.Now()))
 	return directory
 }
@@ -55,7 +59,7 @@
 	sealer, err := seal.Load(filepath.Join(directory, pki.FleetKeyFile))
 	assert.NilError(t, err)
 	started := &member{
-		address:  freeAddress(t),
+		address:  freeAddress(),
 		recorder: recorder{datagrams: make(chan string, 16), streams: make(chan *control.PeerMessage, 16)},
 	}
 	started.transport, err = Listen(Config{
@@ -68,15 +72,18 @@
 	return started
 }
 
-// freeAddress is one that is free for TCP now and most likely for UDP.
-func freeAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+// nextHost numbers the members of this test process, each of which gets a
+// loopback address of its own.
+var nextHost atomic.Uint32
+
+const maximumHosts = 250
+
+func hostAddress(number uint32) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, 61, byte(os.Getpid()), byte(1 + number%maximumHosts)})
 }
 
+func freeAddress() netip.AddrPort { return netip.AddrPortFrom(hostAddress(nextHost.Add(1)), 7000) }
+
 func (m *member) send(to netip.AddrPort, from netip.AddrPort) {
 	message := control.PeerMessage{From: identity.Identity{Address: from, Start: 1}, GrantRequest: &control.GrantRequest{}}
 	m.transport.SendStream(to, message)
