Plain UDP flows outlive their owner: exceptions told to the next one

Cause: a plain UDP flow's pin dies with its owner; the hash gives the same target again unless the targets changed since, and a joined daemon would own flows it has never seen.

Change: an owner tells the next owner the pins that the hash would not give, one empty datagram each 5 s; a daemon that joined asks the owner before it about unknown flows and is told the pin.

--- a/internal/encapsulation/header.go
+++ b/internal/encapsulation/header.go
@@ -36,6 +36,9 @@
 	// KindOwnerAcknowledgement tells the sender of a KindToOwner datagram that
 	// it came; it has no payload.
 	KindOwnerAcknowledgement
+	// KindReplicatePin tells another daemon the target of a plain UDP flow; it
+	// has no payload.
+	KindReplicatePin
 )
 
 // TargetState is what a target says of itself in a report.
@@ -252,7 +255,7 @@
 func parseValue(valueType byte, value []byte, header *Header) error {
 	switch valueType {
 	case typeRoute:
-		if len(value) != routeSize || value[0] < byte(KindToTarget) || value[0] > byte(KindOwnerAcknowledgement) {
+		if len(value) != routeSize || value[0] < byte(KindToTarget) || value[0] > byte(KindReplicatePin) {
 			return ErrValue
 		}
 		header.Kind = Kind(value[0])
--- a/internal/encapsulation/header_test.go
+++ b/internal/encapsulation/header_test.go
@@ -33,7 +33,7 @@
 }
 
 func TestParseReturnsWhatWasAppended(t *testing.T) {
-	for kind := KindFabric; kind <= KindOwnerAcknowledgement; kind++ {
+	for kind := KindFabric; kind <= KindReplicatePin; kind++ {
 		want := sample(kind)
 		datagram := append(Append(nil, want), "payload"...)
 		var got Header
@@ -50,7 +50,7 @@
 }
 
 func TestTheGeneralLibraryReadsOurHeader(t *testing.T) {
-	for kind := KindFabric; kind <= KindOwnerAcknowledgement; kind++ {
+	for kind := KindFabric; kind <= KindReplicatePin; kind++ {
 		want := sample(kind)
 		header, err := proxyproto.Read(bufio.NewReader(bytes.NewReader(Append(nil, want))))
 		assert.NilError(t, err)
@@ -90,7 +90,7 @@
 }
 
 func FuzzParse(f *testing.F) {
-	for kind := KindFabric; kind <= KindOwnerAcknowledgement; kind++ {
+	for kind := KindFabric; kind <= KindReplicatePin; kind++ {
 		f.Add(append(Append(nil, sample(kind)), "payload"...))
 	}
 	f.Fuzz(func(t *testing.T, datagram []byte) {
--- a/internal/node/data.go
+++ b/internal/node/data.go
@@ -30,6 +30,8 @@
 		mode: n.options.Mode, limiter: admission.NewLimiter(), counters: &dataCounters{},
 		peers:    n.peers,
 		caughtUp: &n.caughtUp,
+		started:  time.Now(),
+		udpIdle:  data.UDPIdle,
 		pins:     ownership.NewTable(data.Pins, pinLifetime),
 		udpFlows: ownership.NewTable(data.UDPFlows, data.UDPIdle),
 		direct:   map[netip.AddrPort]forwarding.Socket{},
--- a/internal/node/dataplane.go
+++ b/internal/node/dataplane.go
@@ -57,6 +57,7 @@
 	refused    atomic.Uint64
 	returned   atomic.Uint64
 	relayed    atomic.Uint64
+	replicated atomic.Uint64
 	probes     atomic.Uint64
 	dropped    [steering.ReasonCount]atomic.Uint64
 }
@@ -75,6 +76,10 @@
 	caughtUp *atomic.Bool
 	pins     *ownership.Table
 	udpFlows *ownership.Table
+	// started is when this daemon began; until udpIdle later, other daemons may
+	// know plain UDP flows that it owns and has never seen.
+	started  time.Time
+	udpIdle  time.Duration
 	refuser  *admission.Refuser
 	counters *dataCounters
 
@@ -155,7 +160,7 @@
 		d.counters.handedOver.Add(1)
 		d.handOver(worker, inbound, offset, decision.Owner)
 	case steering.Decide:
-		d.pickAndSend(worker, inbound, offset, snapshot, &decision)
+		d.pickAndSend(worker, inbound, offset, snapshot, &decision, isOwner)
 	default:
 		d.drop(decision.Reason)
 	}
@@ -199,15 +204,15 @@
 
 // pickAndSend is the owner's part: it picks a target for a new flow, or keeps
 // to the pick it made.
-func (d *dataPlane) pickAndSend(worker *forwarding.Worker, inbound *forwarding.Inbound, offset int, snapshot *steering.Snapshot, decision *steering.Decision) {
+func (d *dataPlane) pickAndSend(worker *forwarding.Worker, inbound *forwarding.Inbound, offset int, snapshot *steering.Snapshot, decision *steering.Decision, isOwner bool) {
 	memory := worker.Context.(*workerContext)
 	now := time.Now()
 	pick := picker{plane: d, now: now, snapshot: snapshot, service: decision.Service, random: memory.random, key: decision.Key}
-	table := d.pins
 	if decision.Service.Protocol == catalog.ProtocolUDP {
-		table = d.udpFlows
+		d.sendDatagramFlow(worker, inbound, offset, &pick, isOwner)
+		return
 	}
-	pin, stored := table.Update(now, decision.Key, pick.decide)
+	pin, stored := d.pins.Update(now, decision.Key, pick.decide)
 	if !stored {
 		d.refuse(inbound, offset, memory, decision.Service, pick.failure)
 		return
@@ -247,6 +252,9 @@
 		return p.pickNew(ownership.Pin{Created: p.now}, -1)
 	}
 	target := p.snapshot.Target(held.Target)
+	if target != nil && p.service.Protocol == catalog.ProtocolUDP {
+		return held, true
+	}
 	if target == nil || p.shouldSteerAgain(&held) {
 		return p.steerAgain(held, target)
 	}
@@ -256,8 +264,7 @@
 // shouldSteerAgain reports whether the target has left a retransmitted first
 // flight unanswered. Once it has answered, the flow is its own for good.
 func (p *picker) shouldSteerAgain(held *ownership.Pin) bool {
-	return p.service.Protocol == catalog.ProtocolQUIC && !held.Answered &&
-		held.Retries < maximumRetries && p.now.Sub(held.Created) > steerAgainAfter
+	return !held.Answered && held.Retries < maximumRetries && p.now.Sub(held.Created) > steerAgainAfter
 }
 
 func (p *picker) steerAgain(held ownership.Pin, silent *steering.Target) (ownership.Pin, bool) {
@@ -305,7 +312,7 @@
 // rendezvous hash instead, so that the next owner finds the same target.
 func (p *picker) choose(excluded int) int {
 	if p.service.Protocol == catalog.ProtocolUDP {
-		return ownership.Rendezvous(p.key.Hash, p.service.Nodes)
+		return p.hashed()
 	}
 	request := balance.Request{
 		Now: p.now, Zone: p.snapshot.Zone, LeaseHeld: p.now.Before(p.snapshot.LeaseEnds()), Excluded: excluded,
--- a/internal/node/dataplane_backend.go
+++ b/internal/node/dataplane_backend.go
@@ -40,6 +40,12 @@
 		if peer := h.peers.Find(inbound.Source); peer != nil {
 			peer.NoteAcknowledged()
 		}
+	case encapsulation.KindReplicatePin:
+		if !h.snapshot.Load().IsPeer(inbound.Source) {
+			h.drop(steering.ReasonForeignSource)
+			return
+		}
+		h.takePin(&memory.header)
 	case encapsulation.KindToIngress:
 		if !h.snapshot.Load().IsPeer(inbound.Source) {
 			h.drop(steering.ReasonForeignSource)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -73,6 +73,7 @@
 	counter(c.packets, counters.refused.Load(), "refused")
 	counter(c.packets, counters.returned.Load(), "returned")
 	counter(c.packets, counters.relayed.Load(), "relayed")
+	counter(c.packets, counters.replicated.Load(), "replicated_pin")
 	counter(c.packets, counters.probes.Load(), "probes")
 	for reason := steering.ReasonNone + 1; reason < steering.ReasonCount; reason++ {
 		counter(c.drops, counters.dropped[reason].Load(), reason.String())
@@ -124,7 +125,7 @@
 		Actions: map[string]uint64{
 			"routed": counters.routed.Load(), "handed_over": counters.handedOver.Load(), "picked": counters.picked.Load(),
 			"steered_again": counters.steered.Load(), "refused": counters.refused.Load(),
-			"resent_handover": counters.resent.Load(),
+			"resent_handover": counters.resent.Load(), "replicated_pin": counters.replicated.Load(),
 		},
 		Drops: map[string]uint64{},
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -26,8 +26,9 @@
 
 // site is a small site without a fabric: callers use the daemons' own addresses.
 type site struct {
-	keys  string
-	nodes []*Node
+	keys     string
+	settings []settings.Settings
+	nodes    []*Node
 }
 
 var directService = netip.MustParseAddrPort("192.0.2.10:443")
@@ -62,15 +63,23 @@
 		}
 		given.Keyring = filepath.Join(built.keys, pki.KeyringFile)
 		given.FleetKey = filepath.Join(built.keys, pki.FleetKeyFile)
-		node, err := Start(given, logr.Discard(), Options{})
-		assert.NilError(t, err)
-		t.Cleanup(node.Kill)
-		built.nodes = append(built.nodes, node)
+		built.settings = append(built.settings, given)
+		built.nodes = append(built.nodes, nil)
+		built.start(t, index)
 	}
 	built.waitReady(t)
 	return built
 }
 
+// start runs a daemon, after whatever ran there before was killed.
+func (s *site) start(t *testing.T, index int) {
+	t.Helper()
+	node, err := Start(s.settings[index], logr.Discard(), Options{})
+	assert.NilError(t, err)
+	t.Cleanup(node.Kill)
+	s.nodes[index] = node
+}
+
 // waitFor polls; the limit only ends a test that hangs.
 func waitFor(t *testing.T, what string, done func() bool) {
 	t.Helper()
--- a/internal/ownership/pins.go
+++ b/internal/ownership/pins.go
@@ -19,6 +19,9 @@
 	Answered bool
 	// Retries counts how often the flow was steered to another target.
 	Retries int
+	// Replicated is when the pin was last told to the daemon that would own the
+	// flow next.
+	Replicated time.Time
 }
 
 // pinShards divides the table so that workers seldom wait for each other.
--- a/internal/steering/snapshot.go
+++ b/internal/steering/snapshot.go
@@ -235,6 +235,20 @@
 	return &s.daemons[index]
 }
 
+// NextOwner returns the daemon that owns a flow when this one does not, nil if
+// there is none: the one to take over if this daemon dies, and the one that owned
+// the flow before if this daemon has just joined.
+func (s *Snapshot) NextOwner(key ownership.FlowKey) *Daemon {
+	index := ownership.RendezvousPassing(key.Hash, s.nodes, func(index int) bool {
+		daemon := &s.daemons[index]
+		return daemon.IsSelf || daemon.Peer.IsAvoided()
+	})
+	if index < 0 || s.daemons[index].IsSelf {
+		return nil
+	}
+	return &s.daemons[index]
+}
+
 // Watches reports whether this daemon is among the first few by rendezvous for
 // a target, those that ask it for its report.
 func (s *Snapshot) Watches(target *Target, watchers int) bool {
