Lab: a feed that is silent when the run ends counts as broken

Cause: a feed that stalls less than its limit before the end went unnoticed.

Change: silence of more than 3 s at the end is a break.

--- a/internal/lab/workload/caller.go
+++ b/internal/lab/workload/caller.go
@@ -64,6 +64,8 @@
 	retryPause      = 300 * time.Millisecond
 	keepAlive       = 5 * time.Second
 	feedSpread      = 2 * time.Second
+	// silentAtEnd is how long a feed may have been silent when the run ends.
+	silentAtEnd = 3 * time.Second
 )
 
 // NewCallers makes the callers; seed fixes their rhythm.
@@ -223,31 +225,39 @@
 	defer stop()
 	c.OpenFeed.Add(1)
 	defer c.OpenFeed.Add(-1)
-	target, err := c.readFeed(stream, id)
+	target, last, err := c.readFeed(stream, id)
 	kind := history.FeedClosed
 	detail := ""
-	if ctx.Err() == nil {
+	switch {
+	case ctx.Err() == nil:
 		kind, detail = history.FeedBroken, err.Error()
+	case time.Since(last) > silentAtEnd:
+		// The run's end came before the stall did.
+		kind, detail = history.FeedBroken, "silent when the run ended"
 	}
 	c.config.History.Add(history.Event{Kind: kind, Request: id, Service: c.config.Service, Target: target, Detail: detail})
 	return true
 }
 
-func (c *Callers) readFeed(stream *quic.Stream, id string) (string, error) {
+// readFeed reads events until one fails to come, and returns the feed's target
+// and when the last event came.
+func (c *Callers) readFeed(stream *quic.Stream, id string) (string, time.Time, error) {
 	decoder := cbor.NewDecoder(stream)
 	target := ""
+	last := time.Now()
 	for expected := uint64(1); ; expected++ {
 		_ = stream.SetReadDeadline(time.Now().Add(c.config.FeedStall))
 		var event feedEvent
 		if err := decoder.Decode(&event); err != nil {
-			return target, err
+			return target, last, err
 		}
+		last = time.Now()
 		if expected == 1 {
 			target = event.Target
 			c.config.History.Add(history.Event{Kind: history.FeedOpened, Request: id, Service: c.config.Service, Target: target})
 		}
 		if event.Sequence != expected {
-			return target, errors.New("an event is missing")
+			return target, last, errors.New("an event is missing")
 		}
 	}
 }
