Membership: fewer retransmissions, and probes that repair what they miss

Cause: at 1,400 hollow members the byte budget was spent on joins sent 33 times by each member: a death took 34 s (p50) to 88 s (max) to reach all, and 8,500 views lacked a live member at the end. Ruled out: processor time (0.24 % of a core) and the suspicion time (9.4 s).

Change: an update is sent 4 log10(n) times in place of 3 log2(n); while more waits than gossip can carry, 3 times, and whole lists are compared each 10 to 20 s in place of 5 minutes. Each probe carries the sender's own record, and an answer tells a sender that it is held for dead, so that it refutes.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -48,6 +48,9 @@
 	// MembersSyncInterval is how often the whole member list is compared with
 	// one random peer, to repair what gossip lost.
 	MembersSyncInterval time.Duration
+	// CrowdedSyncInterval takes its place while more happens than gossip can
+	// carry, as when a region starts.
+	CrowdedSyncInterval time.Duration
 }
 
 // DefaultLANConfig suits a region of a few milliseconds.
@@ -67,6 +70,7 @@
 		StatusTimeout:       time.Second,
 		CompactAfter:        256,
 		MembersSyncInterval: 5 * time.Minute,
+		CrowdedSyncInterval: 10 * time.Second,
 	}
 }
 
@@ -263,6 +267,11 @@
 }
 
 func (c *Core) tickMembersSync(now time.Time) {
+	if c.group.IsCrowded() && c.nextSync.After(now.Add(2*c.config.CrowdedSyncInterval)) {
+		// Spread over an interval, or all would ask at once.
+		spread := time.Duration(c.random.Int64N(int64(c.config.CrowdedSyncInterval)))
+		c.nextSync = now.Add(c.config.CrowdedSyncInterval + spread)
+	}
 	if now.Before(c.nextSync) {
 		return
 	}
--- a/internal/membership/broadcast.go
+++ b/internal/membership/broadcast.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"math/bits"
+	"math"
 	"slices"
 
 	"github.com/passtray/passtray/internal/identity"
@@ -40,6 +40,9 @@
 // take moves news that fits into room bytes onto the message and returns the
 // bytes used. What was sent limit times is dropped.
 func (q *broadcastQueue) take(into *message, room, limit int) int {
+	if q.isCrowded() {
+		limit = min(limit, crowdedLimit)
+	}
 	slices.SortStableFunc(q.items, func(a, b broadcast) int { return cmp.Compare(a.sent, b.sent) })
 	used := 0
 	for index := range q.items {
@@ -65,6 +68,18 @@
 	})
 }
 
+// retransmitLimit grows with the logarithm of the group's size, which is how
+// many rounds an epidemic needs.
 func (c *Config) retransmitLimit(members int) int {
-	return c.RetransmitMultiplier * bits.Len(uint(members))
+	return c.RetransmitMultiplier * int(math.Ceil(math.Log10(float64(members+1))))
 }
+
+const (
+	// crowded is how many waiting items show that more happens than gossip can
+	// carry, as when a whole region starts. From then on each item is sent a few
+	// times only, and comparing whole lists repairs what that misses.
+	crowded      = 64
+	crowdedLimit = 3
+)
+
+func (q *broadcastQueue) isCrowded() bool { return len(q.items) > crowded }
--- a/internal/membership/group.go
+++ b/internal/membership/group.go
@@ -135,6 +135,9 @@
 	return all
 }
 
+// IsCrowded reports whether more news waits than gossip can carry.
+func (g *Group) IsCrowded() bool { return g.queue.isCrowded() }
+
 // Merge takes in a whole list, as a joiner does.
 func (g *Group) Merge(now time.Time, members []Member) Output {
 	var output Output
@@ -331,6 +334,11 @@
 			return
 		}
 		ack := message{Kind: kindAck, Sequence: received.Sequence}
+		if held := g.members[received.From]; held != nil && held.Status != Alive {
+			// The sender lives and is held for something else: it must hear of
+			// that, so that it can refute.
+			ack.Updates = append(ack.Updates, held.Member)
+		}
 		if g.members[received.From] == nil || received.Target.Start == 0 {
 			ack.Updates = append(ack.Updates, g.self)
 		}
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -69,8 +69,9 @@
 	// ProbeInterval is how long a suspect may refute. Longer means fewer members
 	// wrongly declared dead, and dead ones noticed later.
 	SuspicionMultiplier int
-	// RetransmitMultiplier times log2 of the group's size is how often one
-	// update is passed on by each member.
+	// RetransmitMultiplier times log10 of the group's size, rounded up, is how
+	// often one update is passed on by each member. Fewer leaves some members to
+	// the comparison of whole lists; more costs bytes.
 	RetransmitMultiplier int
 	// GossipInterval is how often pending updates are sent beside the probes.
 	GossipInterval time.Duration
@@ -96,7 +97,7 @@
 		ProbeTimeout:         300 * time.Millisecond,
 		IndirectProbes:       3,
 		SuspicionMultiplier:  3,
-		RetransmitMultiplier: 3,
+		RetransmitMultiplier: 4,
 		GossipInterval:       200 * time.Millisecond,
 		GossipFanout:         3,
 		BytesPerSecond:       3000,
--- a/internal/membership/tick.go
+++ b/internal/membership/tick.go
@@ -132,7 +132,9 @@
 			target: target, sequence: g.sequence,
 			indirectAt: now.Add(g.config.ProbeTimeout), deadline: now.Add(g.config.ProbeInterval - g.config.ProbeTimeout/10),
 		}
-		ping := message{Kind: kindPing, Sequence: g.sequence, Target: target}
+		// The sender's own record makes every probe repair what gossip has lost:
+		// a receiver that did not know it passes it on as news.
+		ping := message{Kind: kindPing, Sequence: g.sequence, Target: target, Updates: []Member{g.self}}
 		if state := g.members[target]; state.Status == Suspect {
 			ping.Updates = append(ping.Updates, state.Member)
 		}
--- a/internal/simulation/broken_test.go
+++ b/internal/simulation/broken_test.go
@@ -67,7 +67,7 @@
 	if len(fleet.Violations) > 0 {
 		return fleet.Violations[0]
 	}
-	if porcupine.CheckOperationsTimeout(casModel, history, 5*time.Second) == porcupine.Illegal {
+	if !porcupine.CheckOperations(casModel, history) {
 		return "the history is not linearizable"
 	}
 	return ""
--- a/internal/simulation/fleet_test.go
+++ b/internal/simulation/fleet_test.go
@@ -1,8 +1,10 @@
 package simulation
 
 import (
+	"flag"
 	"fmt"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -210,18 +212,35 @@
 	return count
 }
 
+// schedules is how many seeds the fault schedules run through; CI asks for more.
+var schedules = flag.Int("schedules", 48, "seeds of the fault schedules")
+
+// forEachSeed runs a test for many seeds on all processors.
+func forEachSeed(t *testing.T, run func(t *testing.T, seed uint64)) {
+	workers := runtime.GOMAXPROCS(0)
+	for worker := range workers {
+		t.Run(fmt.Sprint("worker-", worker), func(t *testing.T) {
+			t.Parallel()
+			for seed := worker; seed < *schedules; seed += workers {
+				run(t, uint64(seed))
+			}
+		})
+	}
+}
+
 func TestConfigurationIsLinearizableUnderFaults(t *testing.T) {
-	for seed := range uint64(40) {
+	forEachSeed(t, func(t *testing.T, seed uint64) {
 		fleet := newTestFleet(seed, 7)
 		fleet.StartAll()
 		fleet.Clock.Advance(8 * time.Second)
 		scheduleFaults(fleet, 50*time.Second)
 		history := runHistory(fleet, 60*time.Second)
 		assert.Assert(t, countAccepted(history) > 5, "seed %d: only %d of %d calls were accepted", seed, countAccepted(history), len(history))
-		result := porcupine.CheckOperationsTimeout(casModel, history, 10*time.Second)
-		assert.Equal(t, result, porcupine.Ok, "seed %d", seed)
+		assert.Assert(t, porcupine.CheckOperations(casModel, history), "seed %d: the history is not linearizable", seed)
 		lowest, highest := fleet.RevisionsInForce()
 		assert.Equal(t, lowest, highest, "seed %d: after the faults every daemon must have caught up", seed)
-		fleet.noViolations(t)
-	}
+		for _, violation := range fleet.Violations {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+	})
 }
