--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/passtray/passtray/internal/catalog"
 )
 
 const (
@@ -21,10 +23,21 @@
 	minimumBurst = 5
 )
 
-// Limiter bounds new flows and retries per service on one daemon. It is safe for
-// concurrent use; time is passed in.
+// reserved is the share of the daemon's budget that a priority must leave
+// untouched: bulk flows stop when half of it is spent, standard ones when four
+// fifths are, and critical ones may take all.
+var reserved = map[catalog.Priority]float64{
+	catalog.PriorityCritical: 0,
+	catalog.PriorityStandard: 0.2,
+	catalog.PriorityBulk:     0.5,
+}
+
+// Limiter bounds new flows and retries on one daemon: all new flows together, by
+// priority, and those of each service. It is safe for concurrent use; time is
+// passed in.
 type Limiter struct {
 	mutex    sync.Mutex
+	total    *rate.Limiter
 	services map[uint32]*serviceLimits
 }
 
@@ -36,8 +49,30 @@
 	credit float64
 }
 
-// NewLimiter makes a limiter.
-func NewLimiter() *Limiter { return &Limiter{services: map[uint32]*serviceLimits{}} }
+// NewLimiter makes a limiter that admits at most perSecond new flows on this
+// daemon; 0 is no limit.
+func NewLimiter(perSecond int) *Limiter {
+	limiter := &Limiter{services: map[uint32]*serviceLimits{}}
+	if perSecond > 0 {
+		limiter.total = rate.NewLimiter(rate.Limit(perSecond), perSecond)
+	}
+	return limiter
+}
+
+// AllowPriority takes one new flow from the daemon's whole budget. The budget is
+// one second's worth; what is left of it decides which priorities still pass, so
+// that a flood of bulk flows leaves room for critical ones.
+func (l *Limiter) AllowPriority(now time.Time, priority catalog.Priority) bool {
+	if l.total == nil {
+		return true
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.total.TokensAt(now)-1 < reserved[priority]*float64(l.total.Burst()) {
+		return false
+	}
+	return l.total.AllowN(now, 1)
+}
 
 func (l *Limiter) service(number uint32) *serviceLimits {
 	held := l.services[number]
--- /dev/null
+++ b/internal/admission/limiter_test.go
@@ -0,0 +1,49 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/passtray/passtray/internal/catalog"
+)
+
+// TestOverloadTakesFromBulkFirst offers a daemon of 1,000 flows a second twice
+// and five times that: half of it bulk, a quarter standard, a quarter critical.
+func TestOverloadTakesFromBulkFirst(t *testing.T) {
+	for _, overload := range []int{2, 5} {
+		const capacity = 1000
+		limiter := NewLimiter(capacity)
+		now := time.Unix(1000, 0)
+		offered, admitted := map[catalog.Priority]int{}, map[catalog.Priority]int{}
+		order := []catalog.Priority{catalog.PriorityBulk, catalog.PriorityCritical, catalog.PriorityBulk, catalog.PriorityStandard}
+		const seconds = 10
+		flows := capacity * overload * seconds
+		for flow := range flows {
+			priority := order[flow%len(order)]
+			at := now.Add(time.Duration(flow) * seconds * time.Second / time.Duration(flows))
+			offered[priority]++
+			if limiter.AllowPriority(at, priority) {
+				admitted[priority]++
+			}
+		}
+		share := func(priority catalog.Priority) float64 {
+			return float64(admitted[priority]) / float64(offered[priority])
+		}
+		t.Logf("overload %d: critical %.2f, standard %.2f, bulk %.2f", overload,
+			share(catalog.PriorityCritical), share(catalog.PriorityStandard), share(catalog.PriorityBulk))
+		assert.Assert(t, share(catalog.PriorityCritical) > share(catalog.PriorityStandard) || share(catalog.PriorityStandard) == 1)
+		assert.Assert(t, share(catalog.PriorityStandard) > share(catalog.PriorityBulk))
+		if overload == 2 {
+			assert.Equal(t, share(catalog.PriorityCritical), 1.0, "half the capacity is critical work: all of it must pass")
+		}
+	}
+}
+
+func TestWithoutALimitEverythingPasses(t *testing.T) {
+	limiter := NewLimiter(0)
+	for range 10_000 {
+		assert.Assert(t, limiter.AllowPriority(time.Unix(1000, 0), catalog.PriorityBulk))
+	}
+}
--- a/internal/node/data.go
+++ b/internal/node/data.go
@@ -27,7 +27,7 @@
 	data := n.settings.Data
 	n.plane = &dataPlane{
 		self: data.Backend, fabricEgress: data.FabricEgress, fabricSources: n.fabricSources(),
-		mode: n.options.Mode, limiter: admission.NewLimiter(), counters: &dataCounters{},
+		mode: n.options.Mode, limiter: admission.NewLimiter(data.NewFlowsPerSecond), counters: &dataCounters{},
 		peers:    n.peers,
 		caughtUp: &n.caughtUp,
 		started:  time.Now(),
--- a/internal/node/dataplane.go
+++ b/internal/node/dataplane.go
@@ -291,7 +291,7 @@
 }
 
 func (p *picker) pickNew(pin ownership.Pin, excluded int) (ownership.Pin, bool) {
-	if pin.Retries == 0 && !p.plane.limiter.AllowFlow(p.now, uint32(p.service.Number), p.service.Limits.NewFlowsPerSecond, len(p.snapshot.Daemons())) {
+	if pin.Retries == 0 && !p.isAdmitted() {
 		p.failure = steering.ReasonAdmission
 		return pin, false
 	}
@@ -308,6 +308,13 @@
 	return pin, true
 }
 
+// isAdmitted takes a new flow from the service's budget and the daemon's.
+func (p *picker) isAdmitted() bool {
+	number, limits := uint32(p.service.Number), p.service.Limits
+	return p.plane.limiter.AllowFlow(p.now, number, limits.NewFlowsPerSecond, len(p.snapshot.Daemons())) &&
+		p.plane.limiter.AllowPriority(p.now, p.service.Priority)
+}
+
 // choose picks by load. Plain UDP flows, whose pin dies with the owner, go by
 // rendezvous hash instead, so that the next owner finds the same target.
 func (p *picker) choose(excluded int) int {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,6 +67,10 @@
 	FabricSources []netip.Prefix `koanf:"fabric_sources"`
 	// Workers is how many sockets, each with a goroutine, serve each address.
 	Workers int `koanf:"workers" validate:"min=1,max=64"`
+	// NewFlowsPerSecond is how many new flows this daemon admits, over all
+	// services; near it, bulk flows are refused first, then standard ones. 0 is
+	// no limit.
+	NewFlowsPerSecond int `koanf:"new_flows_per_second" validate:"min=0,max=10000000"`
 	// Pins bounds the flows remembered during their handshake, UDPFlows the
 	// plain UDP flows.
 	Pins     int `koanf:"pins" validate:"min=1024,max=10000000"`
