--- /dev/null
+++ b/internal/lab/operators.go
@@ -0,0 +1,83 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
+	passtrayv1 "github.com/passtray/passtray/api/passtray/v1"
+	"github.com/passtray/passtray/internal/lab/history"
+	"github.com/passtray/passtray/internal/pki"
+)
+
+// operatorCall is one call of the operators' interface.
+type operatorCall func(context.Context, passtrayv1.OperatorClient, *passtrayv1.ChangeOptions) (*passtrayv1.ChangeResponse, error)
+
+// operate makes one operators' call through any running daemon, trying others
+// while the outcome is unknown, with one request identifier.
+func (c *cluster) operate(call operatorCall) error {
+	c.mutex.Lock()
+	c.request++
+	options := &passtrayv1.ChangeOptions{RequestId: fmt.Sprintf("lab-%d", c.request)}
+	c.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	var last error
+	for attempt := 0; ctx.Err() == nil; attempt++ {
+		address, found := c.operatorAddress(attempt)
+		if !found {
+			return eris.New("no daemon runs")
+		}
+		answer, err := c.callOne(ctx, address, options, call)
+		if err == nil {
+			c.history.Add(history.Event{Kind: history.ConfigurationAccepted, Revision: answer.GetRevision()})
+			return nil
+		}
+		last = err
+		time.Sleep(100 * time.Millisecond)
+	}
+	return eris.Wrap(last, "operator's call")
+}
+
+func (c *cluster) operatorAddress(attempt int) (netip.AddrPort, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for offset := range c.daemons {
+		index := (attempt + offset) % len(c.daemons)
+		if c.daemons[index].running != nil {
+			return c.plan.daemon(index, portOperator), true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+func (c *cluster) callOne(ctx context.Context, address netip.AddrPort, options *passtrayv1.ChangeOptions, call operatorCall) (*passtrayv1.ChangeResponse, error) {
+	config := c.credentials.Client(address.Addr().String(), pki.RoleDaemon)
+	config.NextProtos = []string{"h2"}
+	connection, err := grpc.NewClient("passthrough:///"+address.String(), grpc.WithTransportCredentials(credentials.NewTLS(config)))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = connection.Close() }()
+	return call(ctx, passtrayv1.NewOperatorClient(connection), options)
+}
+
+// waitInForce waits until every live daemon has what was declared.
+func (c *cluster) waitInForce() error {
+	address, found := c.operatorAddress(0)
+	if !found {
+		return eris.New("no daemon runs")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	_, err := c.callOne(ctx, address, nil, func(ctx context.Context, client passtrayv1.OperatorClient, _ *passtrayv1.ChangeOptions) (*passtrayv1.ChangeResponse, error) {
+		_, err := client.WaitInForce(ctx, &passtrayv1.WaitInForceRequest{})
+		return nil, err
+	})
+	return eris.Wrap(err, "wait until in force")
+}
