--- a/internal/node/data.go
+++ b/internal/node/data.go
@@ -33,7 +33,7 @@
 		started:  time.Now(),
 		udpIdle:  data.UDPIdle,
 		pins:     ownership.NewTable(data.Pins, pinLifetime),
-		udpFlows: ownership.NewTable(data.UDPFlows, data.UDPIdle),
+		udpFlows: ownership.NewFlowTable(data.UDPFlows, data.UDPIdle),
 		direct:   map[netip.AddrPort]forwarding.Socket{},
 	}
 	n.plane.snapshot.Store(n.buildSnapshot())
--- a/internal/ownership/pins.go
+++ b/internal/ownership/pins.go
@@ -50,15 +50,21 @@
 }
 
 // NewTable makes a table of at most capacity pins, each living for lifetime
-// after its last use.
+// after its last use, for flows whose answers are to be noted.
 func NewTable(capacity int, lifetime time.Duration) *Table {
+	table := NewFlowTable(capacity, lifetime)
+	for index := range table.shards {
+		table.shards[index].byCaller = map[callerKey]FlowKey{}
+	}
+	return table
+}
+
+// NewFlowTable makes a table without the way back from answers to pins, which
+// costs memory that long flows need not spend. MarkAnswered finds nothing in it.
+func NewFlowTable(capacity int, lifetime time.Duration) *Table {
 	table := &Table{lifetime: lifetime}
 	for index := range table.shards {
-		table.shards[index] = pinShard{
-			pins:     map[FlowKey]Pin{},
-			byCaller: map[callerKey]FlowKey{},
-			capacity: max(1, capacity/pinShards),
-		}
+		table.shards[index] = pinShard{pins: map[FlowKey]Pin{}, capacity: max(1, capacity/pinShards)}
 	}
 	return table
 }
@@ -90,7 +96,9 @@
 		shard.queue = append(shard.queue, key)
 	}
 	shard.pins[key] = pin
-	shard.byCaller[callerKey{key.Service, key.Caller}] = key
+	if shard.byCaller != nil {
+		shard.byCaller[callerKey{key.Service, key.Caller}] = key
+	}
 	return pin, true
 }
 
