Remove what nothing uses: reads of the log, a second choice, three log fields

Cause: read as a newcomer would; code that only tests called.

Change: removed. A linearizable read can come back with a call that needs it.

--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -9,7 +9,7 @@
 	"github.com/passtray/passtray/internal/identity"
 )
 
-// Errors of Propose, ProposeVoters and Read. They are outcomes, not faults.
+// Errors of Propose and ProposeVoters. They are outcomes, not faults.
 var (
 	// ErrNotLeader: ask the leader instead.
 	ErrNotLeader = eris.New("this replica does not lead")
@@ -99,23 +99,6 @@
 	return distance
 }
 
-// Read asks for a linearizable read (section 6.4): the identifier comes back in
-// Output.ConfirmedReads once a quorum has confirmed that this replica still led
-// after the call, and once the commit index of that time is committed.
-func (r *Replica) Read(now time.Time, identifier uint64) (Output, error) {
-	if r.role != Leader {
-		return Output{}, ErrNotLeader
-	}
-	index := r.commit
-	if term, _ := r.log.termAt(r.commit); term != r.term {
-		// Until the empty entry is committed, earlier commits may be unknown.
-		index = r.log.lastIndex()
-	}
-	r.reads = append(r.reads, pendingRead{identifier: identifier, round: r.round + 1, index: index})
-	r.broadcast(now)
-	return r.take(), nil
-}
-
 func (r *Replica) tickLeader(now time.Time) {
 	if !now.Before(r.quorumDeadline) {
 		if !r.roundIsConfirmed(r.quorumRound) {
@@ -141,7 +124,6 @@
 			r.sendAppend(voter)
 		}
 	}
-	r.confirmReads()
 }
 
 func (r *Replica) sendAppend(voter identity.Identity) {
@@ -176,7 +158,6 @@
 			r.sendAppend(message.From)
 		}
 	}
-	r.confirmReads()
 	r.stepDownIfRemoved(now)
 }
 
@@ -219,15 +200,3 @@
 		return voter == r.self || r.progress[voter].round >= round
 	})
 }
-
-func (r *Replica) confirmReads() {
-	waiting := r.reads[:0]
-	for _, read := range r.reads {
-		if r.commit >= read.index && r.roundIsConfirmed(read.round) {
-			r.output.ConfirmedReads = append(r.output.ConfirmedReads, read.identifier)
-			continue
-		}
-		waiting = append(waiting, read)
-	}
-	r.reads = waiting
-}
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -93,8 +93,8 @@
 	Entries []Entry `cbor:"9,keyasint,omitempty"`
 	// Accepted says yes to a vote or an append.
 	Accepted bool `cbor:"10,keyasint,omitempty"`
-	// Round counts the leader's heartbeats; replies echo it, which confirms
-	// reads (section 6.4) and the leader's hold on its quorum (section 6.2).
+	// Round counts the leader's heartbeats; replies echo it, which confirms the
+	// leader's hold on its quorum (section 6.2).
 	Round    uint64    `cbor:"11,keyasint,omitempty"`
 	Snapshot *Snapshot `cbor:"12,keyasint,omitempty"`
 }
@@ -108,9 +108,4 @@
 	Installed *Snapshot
 	// Committed are entries now safe to apply, in order.
 	Committed []Entry
-	// ConfirmedReads are the read identifiers that may now be answered from
-	// the applied state.
-	ConfirmedReads []uint64
-	// FailedReads lost their leader and must be asked again.
-	FailedReads []uint64
 }
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -49,12 +49,6 @@
 	round uint64
 }
 
-type pendingRead struct {
-	identifier uint64
-	round      uint64
-	index      uint64
-}
-
 // Replica is one member of a group. It is not safe for concurrent use.
 type Replica struct {
 	config Config
@@ -80,7 +74,6 @@
 	// quorumDeadline is when a leader that heard no quorum steps down.
 	quorumDeadline time.Time
 	quorumRound    uint64
-	reads          []pendingRead
 
 	output Output
 }
@@ -100,7 +93,6 @@
 }
 
 func (r *Replica) reset(epoch Epoch, snapshot Snapshot) {
-	r.failReads()
 	r.epoch = epoch
 	r.term = snapshot.Term
 	r.votedFor = identity.Identity{}
@@ -245,18 +237,8 @@
 		r.term = term
 		r.votedFor = identity.Identity{}
 	}
-	if r.role == Leader {
-		r.failReads()
-	}
 	r.role = Follower
 	r.leader = leader
 	r.progress = nil
 	r.resetElectionDeadline(now)
 }
-
-func (r *Replica) failReads() {
-	for _, read := range r.reads {
-		r.output.FailedReads = append(r.output.FailedReads, read.identifier)
-	}
-	r.reads = nil
-}
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -165,16 +165,15 @@
 
 // The kinds of events.
 const (
-	EventGroupFounded    EventKind = "group founded"
-	EventLeaderElected   EventKind = "became leader"
-	EventLeaderLost      EventKind = "stopped leading"
-	EventVotersChanged   EventKind = "voters changed"
-	EventConflict        EventKind = "another group was founded apart"
-	EventUnreadable      EventKind = "configuration update unreadable"
-	EventLeaseOver       EventKind = "lease over"
-	EventLeaseRenewed    EventKind = "lease renewed"
-	EventGroupRecovered  EventKind = "group recovered by force"
-	EventProposalRefused EventKind = "proposal refused"
+	EventGroupFounded   EventKind = "group founded"
+	EventLeaderElected  EventKind = "became leader"
+	EventLeaderLost     EventKind = "stopped leading"
+	EventVotersChanged  EventKind = "voters changed"
+	EventConflict       EventKind = "another group was founded apart"
+	EventUnreadable     EventKind = "configuration update unreadable"
+	EventLeaseOver      EventKind = "lease over"
+	EventLeaseRenewed   EventKind = "lease renewed"
+	EventGroupRecovered EventKind = "group recovered by force"
 )
 
 // Event is something an operator may want to read in the log.
--- a/internal/ownership/owner.go
+++ b/internal/ownership/owner.go
@@ -69,19 +69,6 @@
 	return best
 }
 
-// RendezvousSecond returns the index of the second highest, the one that takes
-// over if the first goes, -1 with fewer than two nodes.
-func RendezvousSecond(hash uint64, nodes []Node) int {
-	first := Rendezvous(hash, nodes)
-	second, secondScore := -1, math.Inf(-1)
-	for index := range nodes {
-		if score := rendezvousScore(hash, &nodes[index]); index != first && score > secondScore {
-			second, secondScore = index, score
-		}
-	}
-	return second
-}
-
 func rendezvousScore(hash uint64, node *Node) float64 {
 	uniform := (float64(mix(hash^node.Seed)>>11) + 0.5) / (1 << 53)
 	return -node.Weight / math.Log(uniform)
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -24,7 +24,7 @@
 		lost := rapid.IntRange(0, len(nodes)-1).Draw(t, "lost")
 		hash := rapid.Uint64().Draw(t, "hash")
 		before := Rendezvous(hash, nodes)
-		second := RendezvousSecond(hash, nodes)
+		second := RendezvousPassing(hash, nodes, func(index int) bool { return index == before })
 		remaining := append(append([]Node(nil), nodes[:lost]...), nodes[lost+1:]...)
 		after := remaining[Rendezvous(hash, remaining)]
 		want := nodes[before]
--- a/internal/telemetry/logging.go
+++ b/internal/telemetry/logging.go
@@ -13,11 +13,8 @@
 const (
 	FieldAddress  = "address"
 	FieldDetail   = "detail"
-	FieldMember   = "member"
 	FieldReason   = "reason"
 	FieldRevision = "revision"
-	FieldService  = "service"
-	FieldTarget   = "target"
 	FieldZone     = "zone"
 )
 
