Reports: what a daemon process costs

Cause: control bytes alone do not show what a daemon takes.

Change: process metrics on /metrics; the lab reports the costliest daemon's share of a core and its memory where daemons are processes.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -134,6 +134,12 @@
 	for _, metric := range families["passtray_control_bytes_total"].GetMetric() {
 		stats.ControlBytes += uint64(metric.GetCounter().GetValue())
 	}
+	for _, metric := range families["process_cpu_seconds_total"].GetMetric() {
+		stats.CPUSeconds = metric.GetCounter().GetValue()
+	}
+	for _, metric := range families["process_resident_memory_bytes"].GetMetric() {
+		stats.ResidentBytes = metric.GetGauge().GetValue()
+	}
 	for _, metric := range families["passtray_packets_total"].GetMetric() {
 		stats.Actions[metric.GetLabel()[0].GetValue()] += uint64(metric.GetCounter().GetValue())
 	}
--- a/internal/lab/report/collector.go
+++ b/internal/lab/report/collector.go
@@ -43,7 +43,7 @@
 	latencies map[latencyKey]*hdrhistogram.Histogram
 	samples   map[string][]sample
 	last      map[string][]TargetLoad
-	rates     []float64
+	costs     []DaemonCost
 	actions   map[string]uint64
 	drops     map[string]uint64
 }
@@ -114,15 +114,23 @@
 	return Imbalance{MaximumToMean: highest / mean, Variation: math.Sqrt(squares/float64(len(values))) / mean}
 }
 
-// ControlRate records one daemon's control traffic in bytes a second.
-func (c *Collector) ControlRate(bytesPerSecond float64) {
+// DaemonCost is what one daemon spent over the run.
+type DaemonCost struct {
+	ControlBytesPerSecond float64
+	// CoreShare and ResidentBytes are 0 for a daemon that shares its process.
+	CoreShare     float64
+	ResidentBytes float64
+}
+
+// Cost records one daemon's cost.
+func (c *Collector) Cost(cost DaemonCost) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.rates = append(c.rates, bytesPerSecond)
+	c.costs = append(c.costs, cost)
 }
 
 // Daemon adds one daemon's counters.
-func (c *Collector) Daemon(_ string, actions, drops map[string]uint64) {
+func (c *Collector) Daemon(actions, drops map[string]uint64) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for name, count := range actions {
@@ -157,6 +165,6 @@
 	made.countEvents(events)
 	made.addLatencies(c.latencies)
 	made.addImbalance(c.samples)
-	made.addControl(c.rates)
+	made.addCosts(c.costs)
 	return made
 }
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -61,6 +61,10 @@
 	// ControlBytesPerSecond is per daemon; the mean and the highest.
 	ControlBytesPerSecond    float64 `json:"control_bytes_per_second_mean"`
 	ControlBytesPerSecondMax float64 `json:"control_bytes_per_second_max"`
+	// CoreShareMax and ResidentBytesMax are of the costliest daemon, forwarding
+	// and control together; 0 where daemons share the lab's process.
+	CoreShareMax     float64 `json:"daemon_core_share_max"`
+	ResidentBytesMax float64 `json:"daemon_resident_bytes_max"`
 	// ProcessCPUSeconds is of the whole process: daemons, targets and callers.
 	ProcessCPUSeconds float64           `json:"process_cpu_seconds"`
 	Actions           map[string]uint64 `json:"actions"`
@@ -180,10 +184,12 @@
 	}
 }
 
-func (r *Report) addControl(rates []float64) {
-	for _, rate := range rates {
-		r.ControlBytesPerSecond += rate / float64(len(rates))
-		r.ControlBytesPerSecondMax = max(r.ControlBytesPerSecondMax, rate)
+func (r *Report) addCosts(costs []DaemonCost) {
+	for _, cost := range costs {
+		r.ControlBytesPerSecond += cost.ControlBytesPerSecond / float64(len(costs))
+		r.ControlBytesPerSecondMax = max(r.ControlBytesPerSecondMax, cost.ControlBytesPerSecond)
+		r.CoreShareMax = max(r.CoreShareMax, cost.CoreShare)
+		r.ResidentBytesMax = max(r.ResidentBytesMax, cost.ResidentBytes)
 	}
 }
 
@@ -205,6 +211,9 @@
 		r.Runs.Answered, r.Runs.NotRun, r.Runs.Unknown, r.Runs.UnknownRan, r.Runs.Wrong, r.Runs.RanOnce, r.Runs.RanMore)
 	line("control bytes/s per daemon: mean %.0f, highest %.0f; processor time of the whole run %.1f s",
 		r.ControlBytesPerSecond, r.ControlBytesPerSecondMax, r.ProcessCPUSeconds)
+	if r.CoreShareMax > 0 {
+		line("costliest daemon process: %.1f %% of a core, %.0f MiB resident", 100*r.CoreShareMax, r.ResidentBytesMax/(1<<20))
+	}
 	line("packets: %s; dropped: %s", counts(r.Actions), counts(r.Drops))
 	line("")
 	line("SERVICE\tCLASS\tCOUNT\tP50 ms\tP90 ms\tP99 ms\tMAX ms")
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -15,6 +15,7 @@
 	"github.com/passtray/passtray/internal/lab/history"
 	"github.com/passtray/passtray/internal/lab/report"
 	"github.com/passtray/passtray/internal/lab/workload"
+	"github.com/passtray/passtray/internal/node"
 )
 
 const (
@@ -63,7 +64,7 @@
 	callers   []*workload.Callers
 	waiting   sync.WaitGroup
 	began     time.Time
-	control   map[string]uint64
+	before    map[string]node.Stats
 	processor time.Duration
 }
 
@@ -110,7 +111,7 @@
 	playing, cancel := context.WithTimeout(ctx, r.scenario.Duration)
 	defer cancel()
 	r.began = time.Now()
-	r.control = r.controlBytes()
+	r.before = r.daemonStats()
 	r.processor = processorTime()
 	for index := range r.scenario.Services {
 		service := &r.scenario.Services[index]
@@ -193,12 +194,12 @@
 		at.Seconds(), answered, refused, unknown, feeds, r.fabric.ReadyCount())
 }
 
-func (r *run) controlBytes() map[string]uint64 {
-	sent := map[string]uint64{}
+func (r *run) daemonStats() map[string]node.Stats {
+	stats := map[string]node.Stats{}
 	for _, slot := range r.liveDaemons() {
-		sent[slot.name] = slot.running.Stats().ControlBytes
+		stats[slot.name] = slot.running.Stats()
 	}
-	return sent
+	return stats
 }
 
 // processorTime is what this whole process has used.
@@ -216,13 +217,15 @@
 	case <-ctx.Done():
 	}
 	span := time.Since(r.began)
-	for _, slot := range r.liveDaemons() {
-		stats := slot.running.Stats()
-		before, sameDaemon := r.control[slot.name]
-		if sameDaemon && stats.ControlBytes >= before {
-			r.collector.ControlRate(float64(stats.ControlBytes-before) / span.Seconds())
+	for name, stats := range r.daemonStats() {
+		if before, ranBefore := r.before[name]; ranBefore && stats.ControlBytes >= before.ControlBytes {
+			r.collector.Cost(report.DaemonCost{
+				ControlBytesPerSecond: float64(stats.ControlBytes-before.ControlBytes) / span.Seconds(),
+				CoreShare:             (stats.CPUSeconds - before.CPUSeconds) / span.Seconds(),
+				ResidentBytes:         stats.ResidentBytes,
+			})
 		}
-		r.collector.Daemon(slot.name, stats.Actions, stats.Drops)
+		r.collector.Daemon(stats.Actions, stats.Drops)
 	}
 	r.history.Add(history.Event{Kind: history.RunEnded})
 	events := r.history.Events()
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -112,8 +112,12 @@
 type Stats struct {
 	// ControlBytes is control traffic sent, streams and datagrams.
 	ControlBytes uint64
-	Actions      map[string]uint64
-	Drops        map[string]uint64
+	// CPUSeconds and ResidentBytes are of the daemon's process, 0 where it
+	// shares one with others.
+	CPUSeconds    float64
+	ResidentBytes float64
+	Actions       map[string]uint64
+	Drops         map[string]uint64
 }
 
 // Stats reads the counters.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rotisserie/eris"
 
 	"github.com/passtray/passtray/internal/catalog"
@@ -154,7 +155,7 @@
 		return err
 	}
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(newCollector(n))
+	registry.MustRegister(newCollector(n), collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	n.telemetry, err = telemetry.Serve(n.settings.Telemetry, registry, n)
 	return err
 }
