Membership: lists are reconciled by fingerprints

Cause: comparing whole lists while a region of 1,400 starts cost 3.7 KB/s a daemon on average and 6.9 KB/s at most, above the 4 KB/s allowed (each comparison carries about 130 KB both ways).

Change: the asker sends four bytes a member, the answer holds only what it lacks or holds differently.

Measured before, at 1,400: streams 3,741 B/s mean, 6,898 max; datagrams 1,531; in force p50/max 1.89/2.99 s; a death known to all after 15.1 s (p50) and 20.2 (max); no live member missing in any view.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -232,8 +232,10 @@
 	case message.Update != nil:
 		c.takeUpdate(now, message.Update)
 	case message.MembersRequest != nil:
-		c.takeMembership(now, c.group.Merge(now, message.MembersRequest.Known))
-		c.send(from, PeerMessage{Members: &Members{Known: c.group.All()}})
+		c.takeMembership(now, c.group.Merge(now, []membership.Member{message.MembersRequest.Self}))
+		if lacking := c.group.Lacking(message.MembersRequest.Fingerprints); len(lacking) > 0 {
+			c.send(from, PeerMessage{Members: &Members{Known: lacking}})
+		}
 	case message.Members != nil:
 		c.takeMembership(now, c.group.Merge(now, message.Members.Known))
 	case message.Proposal != nil:
@@ -261,7 +263,7 @@
 	}
 	for _, member := range output.Joined {
 		if len(c.group.Live()) <= 2 {
-			c.send(member.Address, PeerMessage{MembersRequest: &MembersRequest{Known: []membership.Member{c.group.Self()}}})
+			c.askMembers(member)
 		}
 	}
 }
@@ -277,10 +279,14 @@
 	}
 	c.nextSync = now.Add(c.config.MembersSyncInterval)
 	if peer, found := c.randomPeer(); found {
-		c.send(peer.Address, PeerMessage{MembersRequest: &MembersRequest{Known: c.group.All()}})
+		c.askMembers(peer)
 	}
 }
 
+func (c *Core) askMembers(peer identity.Identity) {
+	c.send(peer.Address, PeerMessage{MembersRequest: &MembersRequest{Self: c.group.Self(), Fingerprints: c.group.Fingerprints()}})
+}
+
 func (c *Core) randomPeer() (identity.Identity, bool) {
 	live := c.group.Live()
 	if len(live) < 2 {
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -36,12 +36,15 @@
 	Have dissemination.Version `cbor:"1,keyasint"`
 }
 
-// MembersRequest asks for the whole member list, and gives the asker's own.
+// MembersRequest asks for the members that the asker lacks or holds differently.
 type MembersRequest struct {
-	Known []membership.Member `cbor:"1,keyasint"`
+	// Self is the asker.
+	Self membership.Member `cbor:"1,keyasint"`
+	// Fingerprints are those of the asker's members, packed.
+	Fingerprints []byte `cbor:"2,keyasint"`
 }
 
-// Members is the whole member list.
+// Members answers it.
 type Members struct {
 	Known []membership.Member `cbor:"1,keyasint"`
 }
--- a/internal/membership/group_test.go
+++ b/internal/membership/group_test.go
@@ -100,6 +100,19 @@
 	assert.Assert(t, sent > seconds*config.BytesPerSecond/2, "the budget is there to be used: %d", sent)
 }
 
+func TestListsAreReconciledByFingerprint(t *testing.T) {
+	one, two := groupAt(1), groupAt(2)
+	one.Merge(testStart, []Member{memberAt(2, 1), memberAt(3, 1), memberAt(4, 1)})
+	changed := memberAt(3, 1)
+	changed.Incarnation = 1
+	two.Merge(testStart, []Member{memberAt(1, 1), changed, memberAt(4, 1), memberAt(5, 1)})
+	lacking := two.Lacking(one.Fingerprints())
+	assert.Equal(t, len(lacking), 2, "one lacks the fifth and holds the third differently: %v", lacking)
+	one.Merge(testStart, lacking)
+	assert.Equal(t, len(two.Lacking(one.Fingerprints())), 0)
+	assert.Equal(t, len(two.Lacking([]byte{1, 2, 3})), 5)
+}
+
 func TestForeignDatagramsChangeNothing(t *testing.T) {
 	group := groupAt(1)
 	group.Merge(testStart, []Member{memberAt(2, 1)})
