Membership: a replacement whose clock is behind is taken in

Cause: starts order runs at one address by wall clock; a machine replaced at its address by one whose clock is behind was declared dead by everybody, for ever.

Change: a lower start is taken as it is when its rival is gone; while the rival is still held for alive, the newcomer is told, and takes a higher start.

--- a/internal/membership/group.go
+++ b/internal/membership/group.go
@@ -154,7 +154,14 @@
 		g.refute(news)
 		return
 	}
-	if news.Identity.Address == g.self.Identity.Address || !news.Identity.Address.IsValid() {
+	if news.Identity.Address == g.self.Identity.Address {
+		if news.IsLive() && news.Identity.Start > g.self.Identity.Start {
+			// The group takes the run before for this one's successor.
+			output.Outranked = max(output.Outranked, news.Identity.Start)
+		}
+		return
+	}
+	if !news.Identity.Address.IsValid() {
 		return
 	}
 	held := g.members[news.Identity]
@@ -193,24 +200,26 @@
 }
 
 // supersede declares older runs at the same address dead: two cannot be there.
+// The starts order two runs that are both held for alive. Clocks of a machine and
+// of its replacement may differ, so a start that is lower but whose rival is gone
+// already is taken as it is.
 func (g *Group) supersede(now time.Time, state *memberState, output *Output) {
 	if !state.IsLive() {
 		return
 	}
 	address := state.Identity.Address
 	current, known := g.current[address]
-	if known && current != state.Identity {
-		older, newer := current, state.Identity
-		if older.Start > newer.Start {
-			older, newer = newer, older
-		}
-		g.current[address] = newer
-		if dead := g.members[older]; dead != nil && dead.IsLive() {
-			g.declare(now, dead, Dead, output)
-		}
+	rival := g.members[current]
+	if !known || current == state.Identity || rival == nil || !rival.IsLive() {
+		g.current[address] = state.Identity
 		return
 	}
-	g.current[address] = state.Identity
+	older, newer := rival, state
+	if older.Identity.Start > newer.Identity.Start {
+		older, newer = newer, older
+	}
+	g.current[address] = newer.Identity
+	g.declare(now, older, Dead, output)
 }
 
 func (g *Group) declare(now time.Time, state *memberState, status Status, output *Output) {
@@ -334,6 +343,9 @@
 			return
 		}
 		ack := message{Kind: kindAck, Sequence: received.Sequence}
+		if current, known := g.current[from]; known && current != received.From {
+			ack.Updates = append(ack.Updates, g.members[current].Member)
+		}
 		if held := g.members[received.From]; held != nil && held.Status != Alive {
 			// The sender lives and is held for something else: it must hear of
 			// that, so that it can refute.
--- a/internal/node/surroundings.go
+++ b/internal/node/surroundings.go
@@ -42,7 +42,10 @@
 			seeds = append(seeds, machine.Control)
 		}
 	}
-	n.enqueue(func(time.Time) { n.core.SetSeeds(unique(seeds)) })
+	n.enqueue(func(time.Time) {
+		n.seeds = unique(seeds)
+		n.core.SetSeeds(n.seeds)
+	})
 }
 
 func unique(addresses []netip.AddrPort) []netip.AddrPort {
--- a/internal/simulation/recovery_test.go
+++ b/internal/simulation/recovery_test.go
@@ -140,3 +140,25 @@
 	}
 	fleet.noViolations(t)
 }
+
+// TestAReplacementWithAClockBehindIsTakenIn restarts a daemon whose clock was an
+// hour ahead, at once and after the group has noticed its death.
+func TestAReplacementWithAClockBehindIsTakenIn(t *testing.T) {
+	for _, wait := range []time.Duration{100 * time.Millisecond, 30 * time.Second} {
+		fleet := newTestFleet(4, 5)
+		const ahead = 2
+		fleet.Daemons[ahead].clockAhead = uint64(time.Hour.Milliseconds()) << 20
+		fleet.StartAll()
+		fleet.Clock.Advance(8 * time.Second)
+		fleet.Crash(ahead)
+		fleet.Daemons[ahead].clockAhead = 0
+		fleet.Clock.Advance(wait)
+		fleet.Start(ahead)
+		fleet.Clock.Advance(20 * time.Second)
+		for index, daemon := range fleet.Daemons {
+			assert.Equal(t, len(daemon.Core.Live()), 5, "after %s, daemon %d", wait, index)
+		}
+		assert.Equal(t, fleet.submitAndWait(ahead, "after", 1).Status, control.ProposalDecided)
+		fleet.noViolations(t)
+	}
+}
