Membership: telling a newcomer that it is outranked is not needed

Once the rival is declared dead, the newcomer refutes and is taken in.

Change: the telling is removed; the rule for a rival that is gone stays.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -255,7 +255,6 @@
 		c.sendDatagram(datagram.To, datagramMembership, datagram.Bytes)
 	}
 	c.output.MembersChanged = c.output.MembersChanged || output.Changed
-	c.output.Outranked = max(c.output.Outranked, output.Outranked)
 	for _, remote := range output.Digests {
 		c.takeDigest(now, remote.From, remote.Digest)
 	}
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -159,9 +159,6 @@
 	Results []ProposalResult
 	// Statuses answer RequestStatus.
 	Statuses []FleetStatus
-	// Outranked, if above 0, asks the caller to make a new core with a start
-	// above this: the group holds an earlier run at this address for newer.
-	Outranked uint64
 	// Events are for the log.
 	Events []Event
 }
--- a/internal/membership/group.go
+++ b/internal/membership/group.go
@@ -154,14 +154,7 @@
 		g.refute(news)
 		return
 	}
-	if news.Identity.Address == g.self.Identity.Address {
-		if news.IsLive() && news.Identity.Start > g.self.Identity.Start {
-			// The group takes the run before for this one's successor.
-			output.Outranked = max(output.Outranked, news.Identity.Start)
-		}
-		return
-	}
-	if !news.Identity.Address.IsValid() {
+	if news.Identity.Address == g.self.Identity.Address || !news.Identity.Address.IsValid() {
 		return
 	}
 	held := g.members[news.Identity]
@@ -343,9 +336,6 @@
 			return
 		}
 		ack := message{Kind: kindAck, Sequence: received.Sequence}
-		if current, known := g.current[from]; known && current != received.From {
-			ack.Updates = append(ack.Updates, g.members[current].Member)
-		}
 		if held := g.members[received.From]; held != nil && held.Status != Alive {
 			// The sender lives and is held for something else: it must hear of
 			// that, so that it can refute.
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -62,10 +62,6 @@
 	// Digests and Broadcasts are the application's, received.
 	Digests    []RemoteDigest
 	Broadcasts [][]byte
-	// Outranked, if above 0, is the start of a run before at this address that
-	// the group holds for alive and newer, because its clock was ahead. This
-	// daemon must take a higher start.
-	Outranked uint64
 	// Joined names a member through which the whole list can be fetched.
 	Joined []identity.Identity
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,7 +60,6 @@
 	leaseEnds   atomic.Int64
 
 	core      *control.Core
-	seeds     []netip.AddrPort
 	inbox     chan func(now time.Time)
 	transport *peering.Transport
 	plane     *dataPlane
@@ -147,7 +146,7 @@
 	if err != nil {
 		return err
 	}
-	n.openCore(0)
+	n.openCore()
 	if err := n.openData(); err != nil {
 		return err
 	}
@@ -161,21 +160,18 @@
 	return err
 }
 
-// openCore makes the control core, with a start above a given one.
-func (n *Node) openCore(above uint64) {
+func (n *Node) openCore() {
 	now := time.Now()
-	start := max(identity.NewStart(now.UnixMilli(), rand.Uint64()), above+1)
 	config := control.DefaultLANConfig()
 	config.Voters = n.settings.Voters
 	config.LeaseDuration = n.settings.Lease
 	self := membership.Member{
-		Identity:    identity.Identity{Address: n.settings.Control, Start: start},
+		Identity:    identity.Identity{Address: n.settings.Control, Start: identity.NewStart(now.UnixMilli(), rand.Uint64())},
 		DataAddress: n.settings.Data.Backend,
 		Zone:        n.settings.Zone,
 	}
 	n.core = control.NewCore(config, self, now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	n.seeds = n.settings.Peers
-	n.core.SetSeeds(n.seeds)
+	n.core.SetSeeds(n.settings.Peers)
 	n.lastTick.Store(now.UnixNano())
 }
 
@@ -234,14 +230,6 @@
 	if ends := n.core.LeaseEnds(); !ends.IsZero() {
 		n.leaseEnds.Store(ends.UnixNano())
 	}
-	if output.Outranked > 0 {
-		// The core holds nothing that is not held elsewhere: calls under way end
-		// with an unknown outcome, and are asked again.
-		n.log.Info("start renewed: an earlier run's clock was ahead")
-		n.openCore(output.Outranked)
-		n.core.SetSeeds(n.seeds)
-		n.publish(true)
-	}
 	if output.ConfigurationChanged || output.MembersChanged || len(output.Events) > 0 {
 		n.publish(output.ConfigurationChanged)
 	}
--- a/internal/node/surroundings.go
+++ b/internal/node/surroundings.go
@@ -42,10 +42,7 @@
 			seeds = append(seeds, machine.Control)
 		}
 	}
-	n.enqueue(func(time.Time) {
-		n.seeds = unique(seeds)
-		n.core.SetSeeds(n.seeds)
-	})
+	n.enqueue(func(time.Time) { n.core.SetSeeds(unique(seeds)) })
 }
 
 func unique(addresses []netip.AddrPort) []netip.AddrPort {
--- a/internal/simulation/fleet.go
+++ b/internal/simulation/fleet.go
@@ -33,10 +33,8 @@
 
 	generation int
 	start      uint64
-	// clockAhead is added to the start, as by a wrong clock; outranked is the
-	// start that the next run must exceed.
+	// clockAhead is added to the start, as by a wrong clock.
 	clockAhead uint64
-	outranked  uint64
 	highest    uint64
 }
 
@@ -114,7 +112,6 @@
 		self.Identity.Start = daemon.start
 	}
 	self.Identity.Start += daemon.clockAhead
-	self.Identity.Start = max(self.Identity.Start, daemon.outranked+1)
 	daemon.start = self.Identity.Start
 	daemon.Core = control.NewCore(f.Config, self, now, rand.New(rand.NewPCG(f.Random.Uint64(), uint64(index))))
 	daemon.Core.SetSeeds(f.seeds)
@@ -191,10 +188,6 @@
 			f.OnEvent(index, happened)
 		}
 	}
-	if output.Outranked > 0 && daemon.Core != nil {
-		daemon.outranked = max(daemon.outranked, output.Outranked)
-		f.Start(index)
-	}
 	if daemon.Core != nil {
 		f.check(index, daemon)
 	}
