Lab: a drain reaches the target in band, as documented

Cause: the lab told a drained target by itself, so nothing showed that the operators' drain reaches it, nor that a cut-off daemon learns of it.

Change: the lab only makes the operators' call; the target learns in band.

--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -10,11 +10,11 @@
 	passtrayv1 "github.com/passtray/passtray/api/passtray/v1"
 	"github.com/passtray/passtray/internal/lab/history"
 	"github.com/passtray/passtray/internal/lab/surroundings"
+	"github.com/passtray/passtray/internal/lab/workload"
 )
 
-// drainPatience is how long a drained target's connections may last in a run
-// before it is left to its feeds.
-const drainPatience = time.Hour
+// drainPoll is how often a target looks whether it is drained.
+const drainPoll = 50 * time.Millisecond
 
 func upper(text string) string { return strings.ToUpper(text) }
 
@@ -117,8 +117,8 @@
 	return service, target
 }
 
-// drain is a planned stop of a target: the operators drain it, and once that is
-// accepted it refuses new connections and ends when the open ones have.
+// drain is a planned stop of a target: the operators drain it, the target learns
+// of it in band, refuses new connections and ends when the open ones have.
 func (c *cluster) drain(ctx context.Context, fullName string, start func(func())) error {
 	service, name := split(fullName)
 	err := c.operate(func(ctx context.Context, client passtrayv1.OperatorClient, options *passtrayv1.ChangeOptions) (*passtrayv1.ChangeResponse, error) {
@@ -130,20 +130,26 @@
 	c.history.Add(history.Event{Kind: history.TargetDrained, Target: fullName})
 	for _, target := range c.runningTargets() {
 		if target.FullName() == fullName {
-			target.Drain()
-			start(func() {
-				waiting, cancel := context.WithTimeout(ctx, drainPatience)
-				defer cancel()
-				if target.WaitIdle(waiting) == nil {
-					c.takeTarget(fullName)
-					target.Close()
-				}
-			})
+			start(func() { c.endWhenIdle(ctx, target) })
 		}
 	}
 	return nil
 }
 
+func (c *cluster) endWhenIdle(ctx context.Context, target *workload.Target) {
+	for !target.IsDraining() {
+		select {
+		case <-time.After(drainPoll):
+		case <-ctx.Done():
+			return
+		}
+	}
+	if target.WaitIdle(ctx) == nil {
+		c.takeTarget(target.FullName())
+		target.Close()
+	}
+}
+
 func (c *cluster) weigh(fullName string, weight uint32) error {
 	service, name := split(fullName)
 	return c.operate(func(ctx context.Context, client passtrayv1.OperatorClient, options *passtrayv1.ChangeOptions) (*passtrayv1.ChangeResponse, error) {
--- a/internal/lab/workload/target.go
+++ b/internal/lab/workload/target.go
@@ -206,10 +206,6 @@
 	}
 }
 
-// Drain makes the target leave in order: it refuses new connections and ends
-// when the open ones have.
-func (t *Target) Drain() { t.listener.Drain() }
-
 // WaitIdle waits until no connection is open.
 func (t *Target) WaitIdle(ctx context.Context) error { return t.listener.WaitIdle(ctx) }
 
