A cut-off daemon keeps the others as owners while they acknowledge

Change: where half of the known daemons seem dead, they stay owners, and silent ones are passed over as before, for longer at each further silence (2 to 64 s).

If half of a fleet really dies, a few flows a daemon wait 0.1 to 0.2 s more, at growing intervals.

--- a/internal/ownership/peers.go
+++ b/internal/ownership/peers.go
@@ -15,9 +15,11 @@
 	// silentMinimum is how many handovers must be unacknowledged, so that one
 	// lost acknowledgement does not count.
 	silentMinimum = 2
-	// avoidFor is how long a silent peer is avoided before it is tried again.
-	// By then membership has usually removed a dead one.
-	avoidFor = 2 * time.Second
+	// avoidFor is how long a silent peer is avoided before it is tried again,
+	// doubled at each further silence up to avoidDoublings times. Membership
+	// usually removes a dead one before the second.
+	avoidFor       = 2 * time.Second
+	avoidDoublings = 5
 	// pendingPerPeer bounds the handovers kept for sending again.
 	pendingPerPeer = 128
 )
@@ -41,6 +43,9 @@
 	sent       int
 	oldest     time.Time
 	avoidUntil time.Time
+	// silences counts how often the peer was found silent since it last
+	// acknowledged anything.
+	silences int
 }
 
 // IsAvoided reports whether the peer is passed over for new flows.
@@ -65,6 +70,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.reset()
+	p.silences = 0
 	p.avoidUntil = time.Time{}
 	p.avoided.Store(false)
 }
@@ -91,7 +97,8 @@
 	unanswered := p.pending
 	if p.sent >= silentMinimum {
 		p.avoided.Store(true)
-		p.avoidUntil = now.Add(avoidFor)
+		p.avoidUntil = now.Add(avoidFor << min(p.silences, avoidDoublings))
+		p.silences++
 	}
 	p.reset()
 	return unanswered
--- a/internal/steering/decide_test.go
+++ b/internal/steering/decide_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -136,6 +137,30 @@
 	assert.Assert(t, handedOver > 75 && handedOver < 100, "%d of 100 flows were handed over by one of nine", handedOver)
 }
 
+func TestACutOffDaemonDoesNotTakeEveryFlowForItsOwn(t *testing.T) {
+	var known []membership.Member
+	for number := range byte(6) {
+		known = append(known, testMember(number+1))
+	}
+	dead := func(from int) []membership.Member {
+		members := slices.Clone(known)
+		for index := from; index < len(members); index++ {
+			members[index].Status = membership.Dead
+		}
+		return members
+	}
+	left := dead(1)
+	left[5].Status = membership.Left
+	for _, test := range []struct {
+		known  []membership.Member
+		live   int
+		owners int
+	}{{known, 6, 6}, {dead(4), 4, 4}, {dead(3), 3, 6}, {dead(1), 1, 6}, {left, 1, 5}} {
+		inputs := Inputs{Live: known[:test.live], Known: test.known}
+		assert.Equal(t, len(inputs.owners()), test.owners, "%d live", test.live)
+	}
+}
+
 func TestASilentOwnerIsPassedOver(t *testing.T) {
 	snapshot := testSnapshot(t, 3)
 	key := ownership.KeyOfID(1, callerAddress, []byte("12345678"))
--- a/internal/steering/snapshot.go
+++ b/internal/steering/snapshot.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -190,7 +191,7 @@
 }
 
 func (s *Snapshot) addDaemons(inputs *Inputs) {
-	for _, member := range inputs.Live {
+	for _, member := range inputs.owners() {
 		daemon := Daemon{Address: member.DataAddress, IsSelf: member.Identity == inputs.Self.Identity}
 		if !daemon.IsSelf {
 			daemon.Peer = inputs.Peers.Get(member.DataAddress)
@@ -200,6 +201,28 @@
 	}
 }
 
+// owners are the daemons that may own flows: those present. A daemon to which
+// half of all others seem to have died has more likely been cut off itself; on
+// the data path it may still reach them, and it must not take every flow for its
+// own. So it keeps them as owners, and passes over those that do not acknowledge.
+func (i *Inputs) owners() []membership.Member {
+	present := map[netip.AddrPort]bool{}
+	for _, member := range i.Live {
+		present[member.DataAddress] = true
+	}
+	owners := slices.Clone(i.Live)
+	for _, member := range i.Known {
+		if member.Status == membership.Dead && !present[member.DataAddress] {
+			present[member.DataAddress] = true
+			owners = append(owners, member)
+		}
+	}
+	if 2*len(i.Live) > len(owners) {
+		return i.Live
+	}
+	return owners
+}
+
 // LeaseEnds returns until when the configuration is confirmed.
 func (s *Snapshot) LeaseEnds() time.Time { return time.Unix(0, s.leaseEnds.Load()) }
 
