Lab: say how long the machine stalled the run

Not proved: a stalled machine.

Change: the lab measures how late its own timers come and reports it.

Conclusion: next time it can be told.

--- a/internal/lab/labctl/soak.go
+++ b/internal/lab/labctl/soak.go
@@ -64,8 +64,8 @@
 		return false
 	}
 	made := result.Report
-	_, _ = fmt.Fprintf(c.program.out, "seed %d: %v: dials %d, failed %d, feeds broken %d, unknown %d, not run %d\n",
-		result.Seed, result.Faults, made.Dials, made.FailedDials, made.FeedsBroken, made.Runs.Unknown, made.Runs.NotRun)
+	_, _ = fmt.Fprintf(c.program.out, "seed %d: %v: dials %d, failed %d, feeds broken %d, unknown %d, not run %d; machine stalled %.2f s\n",
+		result.Seed, result.Faults, made.Dials, made.FailedDials, made.FeedsBroken, made.Runs.Unknown, made.Runs.NotRun, made.StalledSeconds)
 	if made.Holds() {
 		return true
 	}
--- a/internal/lab/report/collector.go
+++ b/internal/lab/report/collector.go
@@ -44,6 +44,8 @@
 	samples   map[string][]sample
 	last      map[string][]TargetLoad
 	costs     []DaemonCost
+	stall     time.Duration
+	stalled   time.Duration
 	actions   map[string]uint64
 	drops     map[string]uint64
 }
@@ -122,6 +124,20 @@
 	ResidentBytes float64
 }
 
+// stallFloor is the lateness that any machine shows now and then.
+const stallFloor = 20 * time.Millisecond
+
+// Stall records by how much a timer of the lab came late.
+func (c *Collector) Stall(late time.Duration) {
+	if late < stallFloor {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.stall = max(c.stall, late)
+	c.stalled += late
+}
+
 // Cost records one daemon's cost.
 func (c *Collector) Cost(cost DaemonCost) {
 	c.mutex.Lock()
@@ -159,7 +175,8 @@
 		Mode: c.mode, Seed: c.seed, Seconds: totals.Span.Seconds(),
 		Dials: totals.Dials, FailedDials: totals.FailedDials, Attempts: totals.Attempts,
 		ProcessCPUSeconds: totals.Processor.Seconds(),
-		Actions:           c.actions, Drops: c.drops,
+		LongestStall:      c.stall.Seconds(), StalledSeconds: c.stalled.Seconds(),
+		Actions: c.actions, Drops: c.drops,
 		Verdicts: history.Check(events), samples: c.samples, lastLoads: c.last,
 	}
 	made.countEvents(events)
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -65,6 +65,11 @@
 	// and control together; 0 where daemons share the lab's process.
 	CoreShareMax     float64 `json:"daemon_core_share_max"`
 	ResidentBytesMax float64 `json:"daemon_resident_bytes_max"`
+	// LongestStall is how late a timer of the lab came at worst, StalledSeconds
+	// the sum of all that was above the ordinary: what the machine, not passtray,
+	// held back.
+	LongestStall   float64 `json:"longest_stall_seconds"`
+	StalledSeconds float64 `json:"stalled_seconds"`
 	// ProcessCPUSeconds is of the whole process: daemons, targets and callers.
 	ProcessCPUSeconds float64           `json:"process_cpu_seconds"`
 	Actions           map[string]uint64 `json:"actions"`
@@ -211,6 +216,7 @@
 		r.Runs.Answered, r.Runs.NotRun, r.Runs.Unknown, r.Runs.UnknownRan, r.Runs.Wrong, r.Runs.RanOnce, r.Runs.RanMore)
 	line("control bytes/s per daemon: mean %.0f, highest %.0f; processor time of the whole run %.1f s",
 		r.ControlBytesPerSecond, r.ControlBytesPerSecondMax, r.ProcessCPUSeconds)
+	line("the machine stalled the lab for %.2f s in all, %.2f s at the longest", r.StalledSeconds, r.LongestStall)
 	if r.CoreShareMax > 0 {
 		line("costliest daemon process: %.1f %% of a core, %.0f MiB resident", 100*r.CoreShareMax, r.ResidentBytesMax/(1<<20))
 	}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -22,6 +22,7 @@
 	formationTimeout = 30 * time.Second
 	sampleInterval   = 250 * time.Millisecond
 	progressInterval = 2 * time.Second
+	stallProbe       = 10 * time.Millisecond
 	// settle is the time after the callers for what is under way.
 	settle = 2 * time.Second
 )
@@ -128,6 +129,7 @@
 		callers.Run(playing, r.start)
 	}
 	r.start(func() { r.sample(playing) })
+	r.start(func() { r.watchStalls(playing) })
 	r.playFaults(playing)
 	<-playing.Done()
 	r.waiting.Wait()
@@ -182,6 +184,24 @@
 	}
 }
 
+// watchStalls notes how late this process was let run at worst. A run on a
+// machine that stalls says little of how fast anything was.
+func (r *run) watchStalls(ctx context.Context) {
+	ticker := time.NewTicker(stallProbe)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		now := time.Now()
+		r.collector.Stall(now.Sub(last) - stallProbe)
+		last = now
+	}
+}
+
 func (r *run) sayProgress(at time.Duration) {
 	answered, refused, unknown, feeds := uint64(0), uint64(0), uint64(0), int64(0)
 	for _, callers := range r.callers {
