Node tests: addresses of their own for each test process

Cause: a run of the whole check failed where another run of the same tests held the fixed loopback addresses.

Change: addresses follow the process's number.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"testing"
 	"time"
@@ -33,8 +34,11 @@
 
 var directService = netip.MustParseAddrPort("192.0.2.10:443")
 
+// siteAddress differs between test processes, so that several may run at once.
 func siteAddress(daemon, port int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 60, 0, byte(10 + daemon)}), uint16(port))
+	process := os.Getpid()
+	address := netip.AddrFrom4([4]byte{127, byte(32 + process/256%28), byte(process), byte(10 + daemon)})
+	return netip.AddrPortFrom(address, uint16(port))
 }
 
 func startSite(t *testing.T, daemons int, platformURL string) *site {
