--- a/internal/balance/pick.go
+++ b/internal/balance/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -43,6 +44,10 @@
 	// Excluded is the index of a candidate that failed this flow already, -1
 	// for none.
 	Excluded int
+
+	// anyWarm says that some target is past its slow start. Where all are cold,
+	// as when a service begins, there is nobody to spare the cold ones for.
+	anyWarm bool
 }
 
 // Pick returns the index of the chosen candidate, -1 if none may take the flow.
@@ -77,6 +82,9 @@
 
 func eligibleSet(request *Request, candidates []Candidate, respectEjection bool) set {
 	var eligible set
+	request.anyWarm = slices.ContainsFunc(candidates, func(candidate Candidate) bool {
+		return request.Now.Sub(candidate.Since) >= slowStart
+	})
 	mayEject := int(maximumEjectedShare * float64(len(candidates)))
 	for index := range candidates {
 		candidate := &candidates[index]
@@ -108,7 +116,7 @@
 func (r *Request) effectiveWeight(candidate *Candidate) float64 {
 	weight := float64(candidate.Weight)
 	age := r.Now.Sub(candidate.Since)
-	if age >= slowStart {
+	if age >= slowStart || !r.anyWarm {
 		return weight
 	}
 	return weight * max(slowStartFloor, float64(age)/float64(slowStart))
