Lab: targets whose reports lie or lag

Cause: the stand-ins were asked for load that lags or lies, and told the truth.

Change: the kit lets a server replace its counted load; the lab's targets use it (liars, load_lag).

Conclusion: nothing finds a liar out yet; own picks and answers could.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -37,6 +37,9 @@
 	// Daemons are the networks daemons stand in. A datagram from elsewhere is
 	// dropped. Empty trusts every network, for a closed one.
 	Daemons []netip.Prefix
+	// Load, if set, replaces the counted load in reports, for servers that know
+	// their load better. It is called with every datagram sent and must be fast.
+	Load func(busySlots uint16, connections uint32) (uint16, uint32)
 	// Trace, if set, sees every datagram that a daemon sent here: the service
 	// address its caller used, and whether it was meant for this target. It must
 	// not block.
--- a/backend/packetconn.go
+++ b/backend/packetconn.go
@@ -205,12 +205,16 @@
 	if c.isDraining() {
 		state = encapsulation.TargetDraining
 	}
+	busy, connections := uint16(c.busy.Load()), c.connections.Load()
+	if c.config.Load != nil {
+		busy, connections = c.config.Load(busy, connections)
+	}
 	return encapsulation.Header{
 		Kind: encapsulation.KindFromTarget, Caller: caller, Service: service,
 		ServiceNumber: route.Service, TargetNumber: route.Target,
 		Report: encapsulation.Report{
-			State: state, BusySlots: uint16(c.busy.Load()), Slots: c.config.Slots,
-			Connections: c.connections.Load(), MaximumConnections: c.config.MaximumConnections,
+			State: state, BusySlots: busy, Slots: c.config.Slots,
+			Connections: connections, MaximumConnections: c.config.MaximumConnections,
 		},
 	}
 }
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -302,6 +302,7 @@
 		ServiceAddr: c.serviceAddress(serviceIndex), KeyringPath: filepath.Join(c.directory, "keys", pki.KeyringFile),
 		Certificate: c.certificate, Slots: service.Slots, MaximumConnections: 2000, Work: service.Work,
 		ColdFactor: service.ColdFactor, ShedAbove: service.ShedAbove, History: c.history,
+		LoadLies: number <= service.Liars, LoadLag: service.LoadLag,
 	}
 	if cold {
 		config.ColdFor = service.ColdFor
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -45,6 +45,10 @@
 	ColdFor    time.Duration `yaml:"cold_for"`
 	ColdFactor float64       `yaml:"cold_factor"`
 	ShedAbove  int32         `yaml:"shed_above"`
+	// Liars is how many of the targets, from the first, report an empty house;
+	// LoadLag is how old the others' reports may be.
+	Liars   int           `yaml:"liars"`
+	LoadLag time.Duration `yaml:"load_lag"`
 	// The load.
 	OncePerSecond    float64       `yaml:"once_per_second"`
 	Feeds            int           `yaml:"feeds"`
--- a/internal/lab/workload/target.go
+++ b/internal/lab/workload/target.go
@@ -34,7 +34,11 @@
 	ColdFor    time.Duration
 	// ShedAbove is how many requests may wait before more are turned away.
 	ShedAbove int32
-	History   *history.Log
+	// LoadLies makes it report an empty house, LoadLag what was true up to that
+	// long ago.
+	LoadLies bool
+	LoadLag  time.Duration
+	History  *history.Log
 }
 
 // Target is a running target stand-in.
@@ -61,8 +65,10 @@
 func StartTarget(config TargetConfig) (*Target, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	target := &Target{config: config, started: time.Now(), ctx: ctx, cancel: cancel}
+	load := &reportedLoad{lies: config.LoadLies, lag: config.LoadLag}
 	var err error
 	target.listener, err = backend.Listen(config.Address, backend.Config{
+		Load:    load.report,
 		Service: config.Service, Target: config.Name, KeyringPath: config.KeyringPath,
 		Slots: config.Slots, MaximumConnections: config.MaximumConnections,
 		Trace: target.trace,
