--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -81,17 +82,19 @@
 		_, _ = fmt.Fprintln(errOut, usage.Message)
 		return ExitUsage
 	}
-	code := exitCodeOf(err)
-	if answer, isStatus := status.FromError(errors.Unwrap(err)); isStatus && errors.Unwrap(err) != nil {
-		_, _ = fmt.Fprintln(errOut, answer.Message())
-		return code
-	}
-	if answer, isStatus := status.FromError(err); isStatus {
-		_, _ = fmt.Fprintln(errOut, answer.Message())
-		return code
+	_, _ = fmt.Fprintln(errOut, messageOf(err))
+	return exitCodeOf(err)
+}
+
+// messageOf is an error in words: the fleet's own, without the transport's
+// frame, behind what was being done.
+func messageOf(err error) string {
+	cause := eris.Cause(err)
+	answer, isStatus := status.FromError(cause)
+	if !isStatus {
+		return err.Error()
 	}
-	_, _ = fmt.Fprintln(errOut, err)
-	return code
+	return strings.Replace(err.Error(), cause.Error(), answer.Message(), 1)
 }
 
 func exitCodeOf(err error) int {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"testing"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 	"gotest.tools/v3/assert"
@@ -86,6 +87,12 @@
 	}
 }
 
+func TestAFleetsRefusalIsSaidBehindWhatWasDone(t *testing.T) {
+	refusal := status.Error(codes.InvalidArgument, "target.weight: 5000 must be 0 to 1000")
+	assert.Equal(t, messageOf(refusal), "target.weight: 5000 must be 0 to 1000")
+	assert.Equal(t, messageOf(eris.Wrap(refusal, "add target roster/one")), "add target roster/one: target.weight: 5000 must be 0 to 1000")
+}
+
 func TestWrongUsageIsSaid(t *testing.T) {
 	for _, test := range []struct {
 		arguments []string
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -57,6 +57,8 @@
 	handler  Handler
 	counters *Counters
 	incoming []ipv4.Message
+	// buffers are those of incoming, each with its headroom in front.
+	buffers  [][]byte
 	outgoing []*outgoingBatch
 	// Context is the handler's own memory for this goroutine.
 	Context any
@@ -75,9 +77,10 @@
 func NewWorker(socket Socket, handler Handler, counters *Counters) *Worker {
 	worker := &Worker{socket: socket, handler: handler, counters: counters}
 	worker.incoming = make([]ipv4.Message, BatchSize)
+	worker.buffers = make([][]byte, BatchSize)
 	for index := range worker.incoming {
-		buffer := make([]byte, Headroom+MaximumDatagram)
-		worker.incoming[index].Buffers = [][]byte{buffer[Headroom:], buffer[:Headroom]}[:1]
+		worker.buffers[index] = make([]byte, Headroom+MaximumDatagram)
+		worker.incoming[index].Buffers = [][]byte{worker.buffers[index][Headroom:]}
 	}
 	return worker
 }
@@ -164,28 +167,23 @@
 		w.counters.Received.Add(uint64(count))
 		w.counters.LastReceived.Store(time.Now().UnixNano())
 		for index := range count {
-			w.handleOne(&w.incoming[index], &inbound)
+			w.handleOne(index, &inbound)
 		}
 		w.Flush()
 	}
 }
 
-func (w *Worker) handleOne(message *ipv4.Message, inbound *Inbound) {
+func (w *Worker) handleOne(index int, inbound *Inbound) {
+	message := &w.incoming[index]
 	if message.N >= MaximumDatagram {
 		w.counters.Oversized.Add(1)
 		return
 	}
 	inbound.Source = AddressOf(message.Addr)
-	inbound.Buffer = wholeBuffer(message)[:Headroom+message.N]
+	inbound.Buffer = w.buffers[index][:Headroom+message.N]
 	w.handler.Handle(w, inbound)
 }
 
-// wholeBuffer returns the buffer with its headroom, which stands behind the
-// slice's visible end.
-func wholeBuffer(message *ipv4.Message) []byte {
-	return message.Buffers[:2][1][:Headroom+MaximumDatagram]
-}
-
 // Group runs workers.
 type Group struct {
 	waiting sync.WaitGroup
--- a/internal/lab/report/collector.go
+++ b/internal/lab/report/collector.go
@@ -3,13 +3,13 @@
 package report
 
 import (
-	"math"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/passtray/passtray/internal/lab/history"
+	"github.com/passtray/passtray/internal/statistics"
 )
 
 // TargetLoad is one target's load at one moment.
@@ -20,19 +20,11 @@
 	Accepted    uint64
 }
 
-// Imbalance says how unevenly something is spread over targets.
-type Imbalance struct {
-	// MaximumToMean is the busiest target's share over the mean; 1 is even.
-	MaximumToMean float64 `json:"max_to_mean"`
-	// Variation is the standard deviation over the mean; 0 is even.
-	Variation float64 `json:"coefficient_of_variation"`
-}
-
 // sample is the imbalance of one service at one moment.
 type sample struct {
 	at          time.Duration
-	connections Imbalance
-	busy        Imbalance
+	connections statistics.Imbalance
+	busy        statistics.Imbalance
 }
 
 // Collector gathers measurements. It is safe for concurrent use.
@@ -96,24 +88,16 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.last[service] = loads
-	c.samples[service] = append(c.samples[service], sample{at: at, connections: imbalanceOf(connections), busy: imbalanceOf(busy)})
+	c.samples[service] = append(c.samples[service], sample{at: at, connections: telling(connections), busy: telling(busy)})
 }
 
-func imbalanceOf(values []float64) Imbalance {
-	total, highest := 0.0, 0.0
-	for _, value := range values {
-		total += value
-		highest = max(highest, value)
-	}
-	mean := total / float64(max(1, len(values)))
+// telling returns the imbalance of values that are enough to say something.
+func telling(values []float64) statistics.Imbalance {
+	imbalance, mean := statistics.ImbalanceOf(values)
 	if mean < minimumMean {
-		return Imbalance{}
-	}
-	squares := 0.0
-	for _, value := range values {
-		squares += (value - mean) * (value - mean)
+		return statistics.Imbalance{}
 	}
-	return Imbalance{MaximumToMean: highest / mean, Variation: math.Sqrt(squares/float64(len(values))) / mean}
+	return imbalance
 }
 
 // DaemonCost is what one daemon spent over the run.
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -12,6 +12,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/passtray/passtray/internal/lab/history"
+	"github.com/passtray/passtray/internal/statistics"
 )
 
 // Latency is one class's distribution in milliseconds.
@@ -27,9 +28,9 @@
 
 // ServiceImbalance is a service's imbalance, the mean over the run's samples.
 type ServiceImbalance struct {
-	Service     string    `json:"service"`
-	Connections Imbalance `json:"connections"`
-	BusySlots   Imbalance `json:"busy_slots"`
+	Service     string               `json:"service"`
+	Connections statistics.Imbalance `json:"connections"`
+	BusySlots   statistics.Imbalance `json:"busy_slots"`
 }
 
 // Runs counts requests by how often they ran against what callers were told.
@@ -173,7 +174,7 @@
 }
 
 // accumulate adds a sample that says something and returns 1, else 0.
-func accumulate(sum *Imbalance, one Imbalance) int {
+func accumulate(sum *statistics.Imbalance, one statistics.Imbalance) int {
 	if one.MaximumToMean == 0 {
 		return 0
 	}
@@ -182,7 +183,7 @@
 	return 1
 }
 
-func divide(sum *Imbalance, count int) {
+func divide(sum *statistics.Imbalance, count int) {
 	if count > 0 {
 		sum.MaximumToMean /= float64(count)
 		sum.Variation /= float64(count)
--- a/internal/node/dataplane_backend.go
+++ b/internal/node/dataplane_backend.go
@@ -89,7 +89,7 @@
 		h.drop(steering.ReasonForeignService)
 		return
 	}
-	if _, first := h.pins.MarkAnswered(now, header.ServiceNumber, header.Caller, header.TargetNumber); first {
+	if h.pins.MarkAnswered(header.ServiceNumber, header.Caller, header.TargetNumber) {
 		target.Signal.NoteAnswered()
 	}
 	if header.Ingress.IsValid() && header.Ingress != h.self {
--- a/internal/ownership/pins.go
+++ b/internal/ownership/pins.go
@@ -102,23 +102,23 @@
 	return pin, true
 }
 
-// MarkAnswered notes that a target has answered a caller, and reports the pin's
-// age when it was the first answer.
-func (t *Table) MarkAnswered(now time.Time, service uint32, caller netip.AddrPort, target uint32) (time.Duration, bool) {
+// MarkAnswered notes that a target has answered a caller, and reports whether it
+// was the first answer.
+func (t *Table) MarkAnswered(service uint32, caller netip.AddrPort, target uint32) bool {
 	shard := t.shardOf(service, caller)
 	shard.mutex.Lock()
 	defer shard.mutex.Unlock()
 	key, found := shard.byCaller[callerKey{service, caller}]
 	if !found {
-		return 0, false
+		return false
 	}
 	pin, found := shard.pins[key]
 	if !found || pin.Target != target || pin.Answered {
-		return 0, false
+		return false
 	}
 	pin.Answered = true
 	shard.pins[key] = pin
-	return now.Sub(pin.Created), true
+	return true
 }
 
 // Len returns how many pins are held.
--- /dev/null
+++ b/internal/statistics/imbalance.go
@@ -0,0 +1,35 @@
+// Package statistics holds the measures that reports and models share.
+package statistics
+
+import "math"
+
+// Imbalance says how unevenly something is spread over targets.
+type Imbalance struct {
+	// MaximumToMean is the highest value over the mean; 1 is even. It is 0 where
+	// the mean is 0, so that there is nothing to spread.
+	MaximumToMean float64 `json:"max_to_mean"`
+	// Variation is the coefficient of variation, the standard deviation over the
+	// mean; 0 is even.
+	Variation float64 `json:"coefficient_of_variation"`
+}
+
+// ImbalanceOf returns the imbalance of values, and their mean.
+func ImbalanceOf(values []float64) (Imbalance, float64) {
+	total, highest := 0.0, 0.0
+	for _, value := range values {
+		total += value
+		highest = max(highest, value)
+	}
+	if total == 0 {
+		return Imbalance{}, 0
+	}
+	mean := total / float64(len(values))
+	squares := 0.0
+	for _, value := range values {
+		squares += (value - mean) * (value - mean)
+	}
+	return Imbalance{
+		MaximumToMean: highest / mean,
+		Variation:     math.Sqrt(squares/float64(len(values))) / mean,
+	}, mean
+}
