Names: the field's terms for our own metaphors

Cause: read as a newcomer: beat, crowded, word and surroundings need explaining.

Change: lease renewals, backlog, fresh state, environment.

--- a/internal/balance/signal.go
+++ b/internal/balance/signal.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// wordLifetime is how long a target's own word on accepting or draining
+	// stateLifetime is how long a target's own word on accepting or draining
 	// counts as fresh.
-	wordLifetime = 5 * time.Second
+	stateLifetime = 5 * time.Second
 	// busyHalfLife is how fast a report of busy slots fades. Requests are short,
 	// and a target's last packet of one still counts its slot as busy.
 	busyHalfLife = 300 * time.Millisecond
@@ -92,7 +92,7 @@
 
 // SaysAccepting reports whether the target itself said so lately.
 func (s *Signal) SaysAccepting(now time.Time) bool {
-	return s.word(now) == encapsulation.TargetAccepting
+	return s.freshState(now) == encapsulation.TargetAccepting
 }
 
 // SaysDraining reports whether the target's last word was that it is leaving.
@@ -101,8 +101,8 @@
 	return encapsulation.TargetState(s.state.Load()) == encapsulation.TargetDraining
 }
 
-func (s *Signal) word(now time.Time) encapsulation.TargetState {
-	if now.UnixNano()-s.reportedAt.Load() > int64(wordLifetime) {
+func (s *Signal) freshState(now time.Time) encapsulation.TargetState {
+	if now.UnixNano()-s.reportedAt.Load() > int64(stateLifetime) {
 		return 0
 	}
 	return encapsulation.TargetState(s.state.Load())
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -32,11 +32,11 @@
 	// pulls; PullTimeout how long a pull may take before another peer is asked.
 	PullDelay   time.Duration
 	PullTimeout time.Duration
-	// BeatInterval is how often the leader renews everybody's lease, and
+	// RenewalInterval is how often the leader renews everybody's lease, and
 	// LeaseDuration how long one lasts. A lease must outlast several epidemic
 	// rounds, or daemons at the edge lose it without a fault.
-	BeatInterval  time.Duration
-	LeaseDuration time.Duration
+	RenewalInterval time.Duration
+	LeaseDuration   time.Duration
 	// ProposalRetry is how often an unanswered proposal is sent again, and
 	// ProposalTimeout when its outcome is given up as unknown.
 	ProposalRetry   time.Duration
@@ -48,9 +48,9 @@
 	// MembersSyncInterval is how often the whole member list is compared with
 	// one random peer, to repair what gossip lost.
 	MembersSyncInterval time.Duration
-	// CrowdedSyncInterval takes its place while more happens than gossip can
+	// BacklogSyncInterval takes its place while more happens than gossip can
 	// carry, as when a region starts.
-	CrowdedSyncInterval time.Duration
+	BacklogSyncInterval time.Duration
 }
 
 // DefaultLANConfig suits a region of a few milliseconds.
@@ -63,14 +63,14 @@
 		FormationRetry:      500 * time.Millisecond,
 		PullDelay:           400 * time.Millisecond,
 		PullTimeout:         time.Second,
-		BeatInterval:        time.Second,
+		RenewalInterval:     time.Second,
 		LeaseDuration:       15 * time.Second,
 		ProposalRetry:       400 * time.Millisecond,
 		ProposalTimeout:     8 * time.Second,
 		StatusTimeout:       time.Second,
 		CompactAfter:        256,
 		MembersSyncInterval: 5 * time.Minute,
-		CrowdedSyncInterval: 10 * time.Second,
+		BacklogSyncInterval: 10 * time.Second,
 	}
 }
 
@@ -269,10 +269,10 @@
 }
 
 func (c *Core) tickMembersSync(now time.Time) {
-	if c.group.IsCrowded() && c.nextSync.After(now.Add(2*c.config.CrowdedSyncInterval)) {
+	if c.group.HasBacklog() && c.nextSync.After(now.Add(2*c.config.BacklogSyncInterval)) {
 		// Spread over an interval, or all would ask at once.
-		spread := time.Duration(c.random.Int64N(int64(c.config.CrowdedSyncInterval)))
-		c.nextSync = now.Add(c.config.CrowdedSyncInterval + spread)
+		spread := time.Duration(c.random.Int64N(int64(c.config.BacklogSyncInterval)))
+		c.nextSync = now.Add(c.config.BacklogSyncInterval + spread)
 	}
 	if now.Before(c.nextSync) {
 		return
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -10,55 +10,55 @@
 
 // lease tells a daemon whether its configuration may still be taken for the
 // newest (Gray and Cheriton, "Leases", 1989). The leader, while it holds its
-// quorum, makes a higher beat every BeatInterval; beats travel on the digests.
-// A beat counts for a daemon only if it has in force all that was committed
-// when the beat was made.
+// quorum, makes a higher renewal every RenewalInterval; renewals travel on the digests.
+// A renewal counts for a daemon only if it has in force all that was committed
+// when the renewal was made.
 type lease struct {
-	// epoch is the group the beats belong to; another group counts anew.
-	epoch     consensus.Epoch
-	beat      uint64
-	beatIndex uint64
-	leader    identity.Identity
-	renewed   time.Time
-	// waiting is a beat whose index is not in force here yet.
-	waiting  digest
-	nextBeat time.Time
-	isOver   bool
+	// epoch is the group the renewals belong to; another group counts anew.
+	epoch        consensus.Epoch
+	renewal      uint64
+	renewalIndex uint64
+	leader       identity.Identity
+	renewed      time.Time
+	// waiting is a renewal whose index is not in force here yet.
+	waiting     digest
+	nextRenewal time.Time
+	isOver      bool
 }
 
-const beatCounterBits = 24
+const renewalCounterBits = 24
 
 func (l *lease) renew(now time.Time, remote *digest, version dissemination.Version) bool {
 	if l.epoch != version.Epoch {
 		*l = lease{epoch: version.Epoch, isOver: l.isOver}
 	}
-	if remote.Beat <= l.beat {
+	if remote.Renewal <= l.renewal {
 		return false
 	}
 	l.leader = remote.Leader
-	if remote.BeatIndex > version.Index {
-		if remote.Beat > l.waiting.Beat {
+	if remote.RenewalIndex > version.Index {
+		if remote.Renewal > l.waiting.Renewal {
 			l.waiting = *remote
 		}
 		return false
 	}
-	l.beat = remote.Beat
-	l.beatIndex = remote.BeatIndex
+	l.renewal = remote.Renewal
+	l.renewalIndex = remote.RenewalIndex
 	l.renewed = now
 	return true
 }
 
-// caughtUp counts a beat that waited for its index.
+// caughtUp counts a renewal that waited for its index.
 func (l *lease) caughtUp(now time.Time, version dissemination.Version) {
-	if l.waiting.Beat > l.beat && l.waiting.Version.Epoch == version.Epoch {
+	if l.waiting.Renewal > l.renewal && l.waiting.Version.Epoch == version.Epoch {
 		waiting := l.waiting
 		l.renew(now, &waiting, version)
 	}
 }
 
 func (c *Core) tickLease(now time.Time) {
-	if c.IsLeader() && !now.Before(c.lease.nextBeat) {
-		c.makeBeat(now)
+	if c.IsLeader() && !now.Before(c.lease.nextRenewal) {
+		c.issueRenewal(now)
 	}
 	if over := c.isFormed() && !c.HoldsLease(now); over != c.lease.isOver {
 		c.lease.isOver = over
@@ -70,16 +70,16 @@
 	}
 }
 
-// makeBeat renews the lease of all. The term in the upper bits lets a new
-// leader's beats override an old one's.
-func (c *Core) makeBeat(now time.Time) {
+// issueRenewal renews the lease of all. The term in the upper bits lets a new
+// leader's renewals override an old one's.
+func (c *Core) issueRenewal(now time.Time) {
 	if epoch := c.store.Version().Epoch; c.lease.epoch != epoch {
 		c.lease = lease{epoch: epoch, isOver: c.lease.isOver}
 	}
-	c.lease.nextBeat = now.Add(c.config.BeatInterval)
-	floor := c.replica.Term() << beatCounterBits
-	c.lease.beat = max(c.lease.beat, floor) + 1
-	c.lease.beatIndex = c.replica.Commit()
+	c.lease.nextRenewal = now.Add(c.config.RenewalInterval)
+	floor := c.replica.Term() << renewalCounterBits
+	c.lease.renewal = max(c.lease.renewal, floor) + 1
+	c.lease.renewalIndex = c.replica.Commit()
 	c.lease.leader = c.self
 	c.lease.renewed = now
 	c.refreshDigest()
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -114,11 +114,11 @@
 // digest rides on every membership message.
 type digest struct {
 	Version dissemination.Version `cbor:"1,keyasint"`
-	// Beat grows while a leader holds its quorum; BeatIndex is the index that
+	// Renewal grows while a leader holds its quorum; RenewalIndex is the index that
 	// was committed when the leader made it.
-	Beat      uint64            `cbor:"2,keyasint,omitempty"`
-	BeatIndex uint64            `cbor:"3,keyasint,omitempty"`
-	Leader    identity.Identity `cbor:"4,keyasint,omitempty"`
+	Renewal      uint64            `cbor:"2,keyasint,omitempty"`
+	RenewalIndex uint64            `cbor:"3,keyasint,omitempty"`
+	Leader       identity.Identity `cbor:"4,keyasint,omitempty"`
 }
 
 // entryBroadcast spreads one committed entry.
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -75,7 +75,7 @@
 }
 
 // guessLeader is the replica's leader on a voter, else the maker of the newest
-// beat, else any voter.
+// renewal, else any voter.
 func (c *Core) guessLeader() identity.Identity {
 	if leader := c.replica.Leader(); !leader.IsZero() && leader != c.self && c.IsVoter() {
 		return leader
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -21,7 +21,7 @@
 func (c *Core) refreshDigest() {
 	c.group.SetDigest(encode(digest{
 		Version: c.store.Version(),
-		Beat:    c.lease.beat, BeatIndex: c.lease.beatIndex, Leader: c.lease.leader,
+		Renewal: c.lease.renewal, RenewalIndex: c.lease.renewalIndex, Leader: c.lease.leader,
 	}))
 }
 
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -14,8 +14,8 @@
 
 	passtrayv1 "github.com/passtray/passtray/api/passtray/v1"
 	"github.com/passtray/passtray/internal/forwarding"
+	"github.com/passtray/passtray/internal/lab/environment"
 	"github.com/passtray/passtray/internal/lab/history"
-	"github.com/passtray/passtray/internal/lab/surroundings"
 	"github.com/passtray/passtray/internal/lab/workload"
 	"github.com/passtray/passtray/internal/node"
 	"github.com/passtray/passtray/internal/pki"
@@ -51,8 +51,8 @@
 	certificate   tls.Certificate
 	credentials   *pki.Store
 
-	fabric   *surroundings.Fabric
-	platform *surroundings.Platform
+	fabric   *environment.Fabric
+	platform *environment.Platform
 
 	mutex   sync.Mutex
 	daemons []*daemonSlot
@@ -98,7 +98,7 @@
 	if c.certificate, err = workload.NewCertificate(); err != nil {
 		return err
 	}
-	if c.platform, err = surroundings.StartPlatform(c.plan.at(hostFabric, portPlatform), c.scenario.PlatformLag); err != nil {
+	if c.platform, err = environment.StartPlatform(c.plan.at(hostFabric, portPlatform), c.scenario.PlatformLag); err != nil {
 		return err
 	}
 	if err := c.startFabric(); err != nil {
@@ -117,7 +117,7 @@
 }
 
 func (c *cluster) startFabric() error {
-	config := surroundings.FabricConfig{
+	config := environment.FabricConfig{
 		Egress: c.plan.at(hostFabric, portEgress), Delay: c.scenario.ClientDelay,
 		HealthInterval: healthInterval, HealthFailures: healthFailures,
 	}
@@ -125,7 +125,7 @@
 		config.Services = append(config.Services, c.serviceAddress(index))
 	}
 	var err error
-	c.fabric, err = surroundings.StartFabric(config)
+	c.fabric, err = environment.StartFabric(config)
 	return err
 }
 
@@ -147,10 +147,10 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	var machines []platform.Machine
-	var backends []surroundings.Backend
+	var backends []environment.Backend
 	for index := range c.daemons {
 		machines = append(machines, platform.Machine{Control: c.plan.daemon(index, portControl)})
-		backends = append(backends, surroundings.Backend{
+		backends = append(backends, environment.Backend{
 			Fabric: c.plan.daemon(index, portFabric), Health: c.plan.daemon(index, portTelemetry),
 		})
 	}
@@ -186,7 +186,7 @@
 	running, err := c.startDaemonAt(slot.name, given, node.Options{
 		Mode: c.scenario.Mode,
 		WrapSocket: func(socket forwarding.Socket) forwarding.Socket {
-			return surroundings.DelaySocket(socket, c.distance)
+			return environment.DelaySocket(socket, c.distance)
 		},
 		Reachable: func(peer netip.AddrPort) bool { return c.isReachable(index, peer) },
 	})
--- a/internal/lab/surroundings/delay.go
+++ b/internal/lab/environment/delay.go
@@ -1,7 +1,7 @@
-// Package surroundings is the lab's stand-ins for what passtray is placed in: a
+// Package environment is the lab's stand-ins for what passtray is placed in: a
 // fabric that sprays packets over the daemons, the platform's read-only service,
 // and the distance between zones.
-package surroundings
+package environment
 
 import (
 	"net"
--- a/internal/lab/surroundings/fabric.go
+++ b/internal/lab/environment/fabric.go
@@ -1,4 +1,4 @@
-package surroundings
+package environment
 
 import (
 	"context"
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -8,8 +8,8 @@
 	"github.com/rotisserie/eris"
 
 	passtrayv1 "github.com/passtray/passtray/api/passtray/v1"
+	"github.com/passtray/passtray/internal/lab/environment"
 	"github.com/passtray/passtray/internal/lab/history"
-	"github.com/passtray/passtray/internal/lab/surroundings"
 	"github.com/passtray/passtray/internal/lab/workload"
 )
 
@@ -46,11 +46,11 @@
 			c.setCut(index, false)
 		}
 	case FaultPlatformDown:
-		c.platform.SetState(surroundings.PlatformDown)
+		c.platform.SetState(environment.PlatformDown)
 	case FaultPlatformStale:
-		c.platform.SetState(surroundings.PlatformStale)
+		c.platform.SetState(environment.PlatformStale)
 	case FaultPlatformUp:
-		c.platform.SetState(surroundings.PlatformUp)
+		c.platform.SetState(environment.PlatformUp)
 	}
 	return nil
 }
--- a/internal/membership/broadcast.go
+++ b/internal/membership/broadcast.go
@@ -40,8 +40,8 @@
 // take moves news that fits into room bytes onto the message and returns the
 // bytes used. What was sent limit times is dropped.
 func (q *broadcastQueue) take(into *message, room, limit int) int {
-	if q.isCrowded() {
-		limit = min(limit, crowdedLimit)
+	if q.hasBacklog() {
+		limit = min(limit, backlogRetransmits)
 	}
 	slices.SortStableFunc(q.items, func(a, b broadcast) int { return cmp.Compare(a.sent, b.sent) })
 	used := 0
@@ -75,11 +75,11 @@
 }
 
 const (
-	// crowded is how many waiting items show that more happens than gossip can
+	// backlogThreshold is how many waiting items show that more happens than gossip can
 	// carry, as when a whole region starts. From then on each item is sent a few
 	// times only, and comparing whole lists repairs what that misses.
-	crowded      = 64
-	crowdedLimit = 3
+	backlogThreshold   = 64
+	backlogRetransmits = 3
 )
 
-func (q *broadcastQueue) isCrowded() bool { return len(q.items) > crowded }
+func (q *broadcastQueue) hasBacklog() bool { return len(q.items) > backlogThreshold }
--- a/internal/membership/group.go
+++ b/internal/membership/group.go
@@ -135,8 +135,8 @@
 	return all
 }
 
-// IsCrowded reports whether more news waits than gossip can carry.
-func (g *Group) IsCrowded() bool { return g.queue.isCrowded() }
+// HasBacklog reports whether more news waits than gossip can carry.
+func (g *Group) HasBacklog() bool { return g.queue.hasBacklog() }
 
 // Merge takes in a whole list, as a joiner does.
 func (g *Group) Merge(now time.Time, members []Member) Output {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -19,7 +19,7 @@
 	"github.com/passtray/passtray/backend"
 	"github.com/passtray/passtray/internal/catalog"
 	"github.com/passtray/passtray/internal/control"
-	"github.com/passtray/passtray/internal/lab/surroundings"
+	"github.com/passtray/passtray/internal/lab/environment"
 	"github.com/passtray/passtray/internal/lab/workload"
 	"github.com/passtray/passtray/internal/pki"
 	"github.com/passtray/passtray/internal/settings"
@@ -257,7 +257,7 @@
 // as an operator, and serves an older document again.
 func TestPlatformDocumentsComeInThroughTheLog(t *testing.T) {
 	address := siteAddress(150, 8080)
-	stand, err := surroundings.StartPlatform(address, 0)
+	stand, err := environment.StartPlatform(address, 0)
 	assert.NilError(t, err)
 	t.Cleanup(stand.Close)
 	document := catalog.Document{
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -85,7 +85,7 @@
 	Service netip.AddrPort `koanf:"service" validate:"address"`
 }
 
-// Platform is the read-only service of the surroundings.
+// Platform is the read-only service of the environment.
 type Platform struct {
 	// URL is its base, such as http://192.0.2.5:8080; empty for none. The host
 	// must be an IP address.
--- a/internal/simulation/recovery_test.go
+++ b/internal/simulation/recovery_test.go
@@ -91,7 +91,7 @@
 	fleet.Clock.Advance(10 * time.Second)
 	assert.Assert(t, fleet.Daemons[away].Core.HoldsLease(fleet.Clock.Now()))
 	fleet.Clock.Advance(10 * time.Second)
-	assert.Assert(t, !fleet.Daemons[away].Core.HoldsLease(fleet.Clock.Now()), "without a beat for 15 s the lease is over")
+	assert.Assert(t, !fleet.Daemons[away].Core.HoldsLease(fleet.Clock.Now()), "without a renewal for 15 s the lease is over")
 	assert.Equal(t, fleet.submitAndWait(1, "while away", 1).Status, control.ProposalDecided)
 	assert.Equal(t, fleet.Daemons[away].Core.State().Revision, uint64(0))
 	fleet.Cut = nil
