Followed store: a reader's claim, so that somebody always reads

Words that had lain in a frozen daemon's socket were taken for new; the peer to ask and the revision that it was to have were not a pair; a pull to a frozen peer held up others for 1 s. Ruled out: slow starts of targets (back in the store long before), the store's answers (the first call after 36.146 s was made at 38.045 s).

--- /dev/null
+++ b/internal/followed/claim_test.go
@@ -0,0 +1,99 @@
+package followed
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestAClaimIsALease(t *testing.T) {
+	const lifetime = time.Second
+	now := testStart
+	t.Run("it runs out unless its reader renews it", func(t *testing.T) {
+		held := claim{rank: 5, at: now}
+		assert.Assert(t, held.isAlive(now.Add(lifetime-1), lifetime))
+		assert.Assert(t, !held.isAlive(now.Add(lifetime), lifetime))
+	})
+	t.Run("a better one replaces it, a worse one does not", func(t *testing.T) {
+		held := claim{rank: 5, at: now}
+		held.offer(now, claim{rank: 4, at: now}, lifetime)
+		assert.Equal(t, held.rank, uint64(5))
+		held.offer(now, claim{rank: 6, at: now.Add(-lifetime / 2)}, lifetime)
+		assert.Equal(t, held.rank, uint64(6))
+	})
+	t.Run("a worse one replaces it once it has run out", func(t *testing.T) {
+		held := claim{rank: 5, at: now}
+		later := now.Add(lifetime)
+		held.offer(later, claim{rank: 4, at: later}, lifetime)
+		assert.Equal(t, held.rank, uint64(4))
+	})
+	t.Run("an old word renews nothing", func(t *testing.T) {
+		held := claim{rank: 5, at: now}
+		held.offer(now, claim{rank: 5, at: now.Add(-lifetime / 2)}, lifetime)
+		assert.Equal(t, held.at, now)
+	})
+	t.Run("a daemon whose link is judged anew keeps its claim", func(t *testing.T) {
+		held := claim{rank: 5, at: now}
+		held.offer(now, claim{rank: 5 | fastRank, at: now}, lifetime)
+		assert.Assert(t, held.isOf(5))
+	})
+}
+
+// TestWhatWaitedWhileADaemonStoodStillIsNotFresh: a peer's word that lay in the
+// socket for seconds says that the store answered just now.
+func TestWhatWaitedWhileADaemonStoodStillIsNotFresh(t *testing.T) {
+	heard := func(t *testing.T, pause time.Duration) *Fleet {
+		t.Helper()
+		fleet := newTestFleet(DefaultFleetConfig())
+		fleet.Tick(testStart)
+		woken := testStart.Add(pause)
+		fleet.noteTime(woken)
+		fleet.hear(woken, woken, peerAddress(1), Digest{IsConfirmed: true, Reader: 7 | fastRank})
+		return fleet
+	}
+	assert.Assert(t, heard(t, 100*time.Millisecond).hearsReader(testStart.Add(100*time.Millisecond)))
+	fleet := heard(t, 5*time.Second)
+	assert.Assert(t, !fleet.hearsReader(testStart.Add(5*time.Second)))
+	assert.Assert(t, fleet.suppliedAt.IsZero())
+}
+
+// TestAnAnswerThatWaitedConfirmsFromItsCall: when the store gave it is not known.
+func TestAnAnswerThatWaitedConfirmsFromItsCall(t *testing.T) {
+	fleet := newTestFleet(DefaultFleetConfig())
+	fleet.isSeed = true
+	listing := fleet.Tick(testStart).Call
+	confirming := fleet.StepAnswer(testStart, answered(listing, 1, configurationEntry(1, 1))).Call
+	woken := testStart.Add(2 * pauseAfter)
+	fleet.StepAnswer(woken, answered(confirming, 1))
+	assert.Equal(t, fleet.ConfirmedAt(), testStart)
+}
+
+// TestAPeerThatToldAllIsNotAskedAgain while another one knows more.
+func TestAPeerThatToldAllIsNotAskedAgain(t *testing.T) {
+	config := DefaultFleetConfig()
+	fleet := newTestFleet(config)
+	pulls := fleet.Tick(testStart).Pulls
+	fleet.StepDelta(testStart, pulls[0].Number, wholeDelta())
+	now := testStart
+	hear := func(peer byte, revision uint64) {
+		t.Helper()
+		fleet.hear(now, now, peerAddress(peer), Digest{Revision: revision})
+	}
+	pullAfter := func(span time.Duration) *Pull {
+		t.Helper()
+		now = now.Add(span)
+		asked := fleet.Tick(now).Pulls
+		assert.Equal(t, len(asked), 1)
+		return asked[0]
+	}
+	clear(fleet.pulls)
+	fleet.reconcileAt = now.Add(time.Hour)
+	hear(1, 10)
+	first := pullAfter(config.PullRetry + config.PullDelay)
+	assert.Equal(t, first.From, peerAddress(1))
+	hear(2, 12)
+	fleet.StepDelta(now, first.Number, &Delta{Since: 9, Until: 9})
+	hear(2, 12)
+	assert.Equal(t, pullAfter(config.PullRetry+config.PullDelay).From, peerAddress(2))
+}
