--- /dev/null
+++ b/internal/followed/backoff.go
@@ -0,0 +1,37 @@
+package followed
+
+import "time"
+
+func (f *Follower) backoff() time.Duration {
+	first, most := f.config.BackoffFirst, f.config.BackoffMost
+	if f.view.Configuration() != nil {
+		first = max(first, f.perMember(f.config.BackoffFirstPerMember))
+		most = max(most, f.perMember(f.config.BackoffMostPerMember))
+	}
+	if f.isSupplied {
+		most = f.config.BackoffSupplied
+	}
+	doublings := min(f.failures-1, 10)
+	return min(first<<doublings, most)
+}
+
+// perMember is a span for each daemon that follows the store together with this one,
+// up to a bound.
+func (f *Follower) perMember(span time.Duration) time.Duration {
+	return min(time.Duration(f.crowd)*span, f.config.Wait*3/2)
+}
+
+// jitter draws between half of a span and the whole, so that daemons that failed
+// together do not come back together.
+func (f *Follower) jitter(span time.Duration) time.Duration {
+	return span/2 + time.Duration(f.random.Int64N(int64(span/2)+1))
+}
+
+// patient lets a timeout grow with failures: an answer that took too long,
+// because many ask at once, must not be asked for again and again.
+func (f *Follower) patient(timeout time.Duration) time.Duration {
+	return timeout << min(f.failures, maximumDoublings)
+}
+
+// maximumDoublings bounds how a timeout grows.
+const maximumDoublings = 2
--- /dev/null
+++ b/internal/followed/followerconfig.go
@@ -0,0 +1,85 @@
+package followed
+
+import "time"
+
+// Config holds a follower's timings.
+type Config struct {
+	// Wait is how long a watch waits for changes. It bounds how long news may be
+	// missed on a connection that fell silent, and each watch is a call.
+	Wait time.Duration
+	// Slack is how much longer than its wait a watch may take.
+	Slack time.Duration
+	// MostTransfer is how long an answer that has begun may keep coming.
+	MostTransfer time.Duration
+	// ListTimeout is how long a page of a list may take to begin, ConfirmTimeout a
+	// watch that does not wait. Both grow with failures: a store that is slow must not
+	// count as lost for ever.
+	ListTimeout    time.Duration
+	ConfirmTimeout time.Duration
+	// Gather is the least time from the start of one watch to the next, so that
+	// changes in quick succession come in one answer.
+	Gather time.Duration
+	// BackoffFirst and BackoffMost bound the pause after a failure; it doubles,
+	// and is drawn at random up to that.
+	BackoffFirst time.Duration
+	BackoffMost  time.Duration
+	// BackoffFirstPerMember and BackoffMostPerMember raise the two for each daemon that
+	// follows the store together with this one, unless it knows nothing.
+	BackoffFirstPerMember time.Duration
+	BackoffMostPerMember  time.Duration
+	// BackoffSupplied replaces BackoffMost while peers supply what the store does
+	// not tell this daemon.
+	BackoffSupplied time.Duration
+	// HedgeAfter is how long a daemon that knows nothing waits for a list before it
+	// asks once more beside it, HedgeMost how many lists it has under way at most (Dean,
+	// Barroso, "The Tail at Scale", 2013): a call that a silent store has swallowed is
+	// not answered when the store is back.
+	// HedgePerMember raises HedgeAfter for each daemon that starts beside this one.
+	HedgeAfter     time.Duration
+	HedgePerMember time.Duration
+	HedgeMost      int
+	// LinkBytes is how many bytes a second the daemon's link carries, 0 if that is
+	// not known.
+	LinkBytes float64
+	// Retention is how long a target that went is remembered.
+	Retention time.Duration
+}
+
+// transferTime is how long so many bytes take on the daemon's link.
+func (c *Config) transferTime(bytes int64) time.Duration {
+	if c.LinkBytes <= 0 {
+		return 0
+	}
+	return min(time.Duration(float64(bytes)/c.LinkBytes*float64(time.Second)), mostLinkTime)
+}
+
+// mostLinkTime bounds what a slow link makes a daemon wait for.
+const mostLinkTime = time.Second
+
+// DefaultConfig suits a store a few milliseconds away.
+func DefaultConfig() Config {
+	return Config{
+		Wait:  time.Second,
+		Slack: 400 * time.Millisecond,
+
+		MostTransfer: 10 * time.Second,
+
+		ListTimeout: 800 * time.Millisecond,
+
+		ConfirmTimeout: 400 * time.Millisecond,
+
+		Gather:       250 * time.Millisecond,
+		BackoffFirst: 50 * time.Millisecond,
+		BackoffMost:  800 * time.Millisecond,
+
+		BackoffSupplied: 3 * time.Second,
+		HedgeAfter:      150 * time.Millisecond,
+		HedgePerMember:  20 * time.Millisecond,
+		HedgeMost:       6,
+
+		BackoffFirstPerMember: 6 * time.Millisecond,
+		BackoffMostPerMember:  25 * time.Millisecond,
+
+		Retention: time.Minute,
+	}
+}
