Start of all: few lists begun early, pulls introduce the asker, busy daemons redirect

Ten daemons with fast links have listed by 36.95 s; nobody can find them, since a daemon that is alone pings the seeds once a second, and the seeds, which start late, know nobody and share the store's link with 300 lists that slow links begin at the same time. The seeds learn at 37.25 s, the last daemon at 37.70 s. Six seconds later many daemons still know a tenth of the members: each repeats what all were told.

Ruled out: that all list at once (a trial in the issue, 0.8 s slower); processing of the list, which takes a few milliseconds.

Change: - a list that turned out to be long is begun after a delay drawn from exponentially distributed feedback timers, and hedged only after three times what it takes; - a daemon that knows nobody tries the seeds after 50 ms, then half as often each time; - a pull names the daemon that asks, so that a seed knows all within its first moments; - who knows nothing, or is busy, names a daemon that can answer; how many answers go out at once follows from the link; - a first list of members is adopted and not passed on; members are compared with a peer's after 0.7 s, 1.4 s and so on; - a line on live daemons at most every 2 s.

The fast links' own lists still take 0.17 to 0.25 s; next.

--- a/internal/followed/followerconfig.go
+++ b/internal/followed/followerconfig.go
@@ -38,6 +38,10 @@
 	HedgeAfter     time.Duration
 	HedgePerMember time.Duration
 	HedgeMost      int
+	// ColdSpread is how much longer than a long list would take on its link a daemon
+	// that knows nothing waits for a peer's answer before it reads the list. Without it
+	// all of a large fleet begin at once, and the store's link is the bottleneck.
+	ColdSpread SuppressionTimer
 	// LinkBytes is how many bytes a second the daemon's link carries, 0 if that is
 	// not known.
 	LinkBytes float64
@@ -77,6 +81,9 @@
 		HedgePerMember:  20 * time.Millisecond,
 		HedgeMost:       6,
 
+		// Machines of a fleet start within 300 ms of each other.
+		ColdSpread: SuppressionTimer{Most: 300 * time.Millisecond, Crowd: 1000},
+
 		BackoffFirstPerMember: 6 * time.Millisecond,
 		BackoffMostPerMember:  25 * time.Millisecond,
 
--- a/internal/followed/hedge.go
+++ b/internal/followed/hedge.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// hedgeTransfers is how many times as long as a long list takes on this daemon's link it
+// is waited for: the store's own link is shared, and asking again makes it slower.
+const hedgeTransfers = 3
+
 // IsAwaited reports whether the answer to a call is still awaited.
 func (f *Follower) IsAwaited(number uint64) bool { return f.awaited(number) != nil }
 
@@ -27,7 +31,7 @@
 // here, that it is asked for once more.
 func (f *Follower) isToHedge(now time.Time) bool {
 	isCold := f.phase == phaseListing && len(f.pages) == 0 && f.view.Configuration() == nil
-	after := max(f.config.HedgeAfter, f.perMember(f.config.HedgePerMember))
+	after := max(f.config.HedgeAfter, f.perMember(f.config.HedgePerMember), hedgeTransfers*f.config.transferTime(f.listBytes))
 	return isCold && len(f.hedged)+1 < f.config.HedgeMost && now.Sub(f.startedAt) >= after
 }
 
--- /dev/null
+++ b/internal/followed/recentpeers.go
@@ -0,0 +1,40 @@
+package followed
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+)
+
+// maximumRecentPeers bounds how many peers are remembered: enough to spread the
+// questions of a fleet that starts at once.
+const maximumRecentPeers = 32
+
+// recentPeers are the last daemons of which something was heard, each once.
+type recentPeers struct {
+	addresses []netip.AddrPort
+}
+
+// add remembers a peer as the latest.
+func (p *recentPeers) add(address netip.AddrPort) {
+	p.addresses = slices.DeleteFunc(p.addresses, func(held netip.AddrPort) bool { return held == address })
+	if len(p.addresses) >= maximumRecentPeers {
+		p.addresses = slices.Delete(p.addresses, 0, 1)
+	}
+	p.addresses = append(p.addresses, address)
+}
+
+// draw returns one of the peers that a test accepts, false if there is none.
+func (p *recentPeers) draw(random *rand.Rand, accept func(address netip.AddrPort) bool) (netip.AddrPort, bool) {
+	first := 0
+	if len(p.addresses) > 0 {
+		first = random.IntN(len(p.addresses))
+	}
+	for index := range p.addresses {
+		address := p.addresses[(first+index)%len(p.addresses)]
+		if accept(address) {
+			return address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
--- /dev/null
+++ b/internal/followed/suppression_test.go
@@ -0,0 +1,32 @@
+package followed
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestSuppressionSpreadsCallsOfAnyCrowd(t *testing.T) {
+	timer := SuppressionTimer{Most: 600 * time.Millisecond, Crowd: 1000}
+	t.Run("it goes from nothing to the longest delay", func(t *testing.T) {
+		assert.Equal(t, timer.delay(0), time.Duration(0))
+		assert.Equal(t, timer.delay(1).Round(time.Microsecond), timer.Most)
+	})
+	t.Run("few of many begin within half of it, and of few soon one", func(t *testing.T) {
+		random := rand.New(rand.NewPCG(1, 2))
+		for _, daemons := range []int{3, 30, 300, 1000} {
+			early, first := 0, timer.Most
+			for range daemons {
+				delay := timer.delay(random.Float64())
+				first = min(first, delay)
+				if delay < timer.Most/2 {
+					early++
+				}
+			}
+			assert.Assert(t, early <= 50, "%d of %d", early, daemons)
+			assert.Assert(t, first < timer.Most, "%d daemons", daemons)
+		}
+	})
+}
--- /dev/null
+++ b/internal/node/memory_bench_test.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/passtray/passtray/internal/followed"
+	"github.com/passtray/passtray/internal/identity"
+	"github.com/passtray/passtray/internal/membership"
+	"github.com/passtray/passtray/internal/steering/token"
+)
+
+// deploymentSize is what a daemon knows of.
+type deploymentSize struct{ targets, members, routes int }
+
+// String names a benchmark.
+func (s deploymentSize) String() string {
+	return fmt.Sprintf("targets=%d,members=%d,routes=%d", s.targets, s.members, s.routes)
+}
+
+func addressOf(block byte, index int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, block, byte(index >> 8), byte(index)}), 8080)
+}
+
+// content is what the store holds, as it comes from a peer.
+func (s deploymentSize) content() []followed.Entry {
+	configuration := &followed.Configuration{Version: 1, Services: []followed.Service{{Name: "service-a", MaximumFlows: 2000}, {Name: "service-b", MaximumFlows: 2000}}}
+	for index := range s.routes {
+		configuration.Routes = append(configuration.Routes, followed.Route{
+			Name: fmt.Sprintf("r-%07d", index), Address: addressOf(200, index), Timeout: 4 * time.Second, Objective: 600 * time.Millisecond,
+			Backends: []followed.Backend{{Service: "service-a", Weight: 1000}},
+		})
+	}
+	entries := []followed.Entry{{Key: "config", Revision: 1, Configuration: configuration}}
+	for index := range s.targets {
+		identifier := uint64(index)<<32 | rand.Uint64()>>32 | 1
+		entries = append(entries, followed.Entry{
+			Key: fmt.Sprintf("servers/i-%010x", identifier), Revision: uint64(index + 2),
+			Target: &followed.Target{Identifier: identifier, Service: "service-a", Address: addressOf(100, index), Zone: "zone-a", Slots: 2},
+		})
+	}
+	return entries
+}
+
+// state is what a daemon keeps of a deployment, made as it is in a daemon that learned
+// from a peer.
+type state struct {
+	fleet   *followed.Fleet
+	builder *token.Builder
+	table   *token.Table
+}
+
+func (s deploymentSize) learn(tb testing.TB) *state {
+	tb.Helper()
+	now := time.Unix(1_800_000_000, 0)
+	self := membership.Member{Identity: identity.Identity{Address: addressOf(1, 0), Start: identity.NewStart(1, 1)}, Zone: "zone-a"}
+	held := &state{
+		fleet:   followed.NewFleet(followed.DefaultFleetConfig(), self, []netip.AddrPort{addressOf(1, 1)}, rand.New(rand.NewPCG(1, 2))),
+		builder: token.NewBuilder(time.Minute),
+	}
+	pull := held.fleet.Tick(now).Pulls[0]
+	var cache deltaCache
+	encoded, err := cache.encode(now, &followed.Delta{Until: uint64(s.targets + 2), Entries: s.content(), Members: s.others()})
+	assert.NilError(tb, err)
+	delta, err := decodeDelta(encoded)
+	assert.NilError(tb, err)
+	held.fleet.StepDelta(now, pull.Number, delta)
+	held.table = held.builder.Build(now, held.fleet.View())
+	assert.Equal(tb, held.table.OpenTargets(), s.targets)
+	assert.Equal(tb, len(held.fleet.Live()), s.members)
+	return held
+}
+
+func (s deploymentSize) others() []membership.Member {
+	var others []membership.Member
+	for index := range s.members - 1 {
+		others = append(others, membership.Member{
+			Identity:    identity.Identity{Address: addressOf(1, index+1), Start: identity.NewStart(1, uint64(index))},
+			DataAddress: addressOf(2, index+1), Zone: "zone-a", Status: membership.Alive, Link: 20,
+		})
+	}
+	return others
+}
+
+// heapOf returns the bytes in use on the heap for what is kept of a deployment.
+func (s deploymentSize) heapOf(tb testing.TB) int64 {
+	tb.Helper()
+	before := heapInUse()
+	held := s.learn(tb)
+	after := heapInUse()
+	runtime.KeepAlive(held)
+	return after - before
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	return int64(memory.HeapAlloc)
+}
+
+// BenchmarkState reports what a daemon keeps, in bytes for each target, member and
+// route, at the size of today's largest deployment and at the one to come.
+func BenchmarkState(b *testing.B) {
+	for _, size := range []deploymentSize{{600, 350, 1_700}, {15_000, 1_400, 4_400}} {
+		b.Run(size.String(), func(b *testing.B) {
+			var whole, targets, members, routes float64
+			for range b.N {
+				total := size.heapOf(b)
+				whole += float64(total)
+				targets += float64(total - deploymentSize{1, size.members, size.routes}.heapOf(b))
+				members += float64(total - deploymentSize{size.targets, 1, size.routes}.heapOf(b))
+				routes += float64(total - deploymentSize{size.targets, size.members, 1}.heapOf(b))
+			}
+			n := float64(b.N)
+			b.ReportMetric(whole/n, "B")
+			b.ReportMetric(targets/n/float64(size.targets), "B/target")
+			b.ReportMetric(members/n/float64(size.members), "B/member")
+			b.ReportMetric(routes/n/float64(size.routes), "B/route")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
--- /dev/null
+++ b/internal/simulation/coldstart_test.go
@@ -0,0 +1,83 @@
+package simulation
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/passtray/passtray/internal/followed"
+)
+
+const (
+	// startSpread is within what time the machines of a fleet start; seeds are last.
+	startSpread = 300 * time.Millisecond
+
+	largeDaemons = 350
+	largeTargets = 600
+)
+
+// coldStart is a start of a whole fleet from nothing.
+type coldStart struct {
+	*followedRun
+	begun time.Time
+}
+
+// newColdStart starts a fleet in a drawn order, its seeds last, on links of two rates.
+func newColdStart(seed uint64, daemons, targets int, config followed.FleetConfig) *coldStart {
+	fleet := NewFollowedFleet(seed, daemons, testZones, config, DefaultNetworkConfig())
+	run := &coldStart{followedRun: newFollowedRun(seed, fleet), begun: fleet.Clock.Now()}
+	run.Links = NewLinks()
+	run.Store.Links = run.Links
+	run.configure()
+	for range targets {
+		run.addTarget()
+	}
+	for index := range run.Daemons {
+		after := time.Duration(run.random.Int64N(int64(startSpread)))
+		if index < len(run.Seeds) {
+			after = startSpread
+		}
+		run.Clock.After(after, func() { run.Start(index) })
+	}
+	return run
+}
+
+// readyAfter returns within what time of the first start a share of the daemons had a
+// configuration; those that have none count as never.
+func (r *coldStart) readyAfter(share float64) time.Duration {
+	var spans []time.Duration
+	for _, daemon := range r.Daemons {
+		span := time.Hour
+		if !daemon.ReadyAt.IsZero() {
+			span = daemon.ReadyAt.Sub(r.begun)
+		}
+		spans = append(spans, span)
+	}
+	slices.Sort(spans)
+	return spans[min(len(spans)-1, int(share*float64(len(spans))))]
+}
+
+// TestALargeFleetStartsFromFewLists: the store's link is shared, and a list takes a tenth
+// of a second on most machines' own.
+func TestALargeFleetStartsFromFewLists(t *testing.T) {
+	for seed := range uint64(4) {
+		run := newColdStart(seed, largeDaemons, largeTargets, followed.DefaultFleetConfig())
+		run.Clock.Advance(5 * time.Second)
+		assert.Assert(t, run.readyAfter(0) <= 250*time.Millisecond, "seed %d: first %s", seed, run.readyAfter(0))
+		assert.Assert(t, run.readyAfter(0.5) <= 500*time.Millisecond, "seed %d: half %s", seed, run.readyAfter(0.5))
+		assert.Assert(t, run.readyAfter(1) <= 900*time.Millisecond, "seed %d: all %s", seed, run.readyAfter(1))
+		t.Logf("seed %d: first %s half %s nine tenths %s all %s, %d calls (%d stale)", seed, run.readyAfter(0), run.readyAfter(0.5), run.readyAfter(0.9), run.readyAfter(1), run.Store.Calls, run.Store.StaleCalls)
+	}
+}
+
+// TestWithoutSuppressionTheStoresLinkIsTheWall: all list at once, and each waits for all.
+func TestWithoutSuppressionTheStoresLinkIsTheWall(t *testing.T) {
+	config := followed.DefaultFleetConfig()
+	config.Follower.ColdSpread = followed.NoSuppression
+	run := newColdStart(1, largeDaemons, largeTargets, config)
+	run.Clock.Advance(5 * time.Second)
+	t.Logf("first %s half %s nine tenths %s all %s, %d calls (%d stale)", run.readyAfter(0), run.readyAfter(0.5), run.readyAfter(0.9), run.readyAfter(1), run.Store.Calls, run.Store.StaleCalls)
+	assert.Assert(t, run.readyAfter(0.5) > 500*time.Millisecond, "half %s", run.readyAfter(0.5))
+}
