--- a/internal/followed/backoff.go
+++ b/internal/followed/backoff.go
@@ -5,11 +5,11 @@
 func (f *Follower) backoff() time.Duration {
 	first, most := f.config.BackoffFirst, f.config.BackoffMost
 	if f.view.Configuration() != nil {
-		first = max(first, f.perMember(f.config.BackoffFirstPerMember))
-		most = max(most, f.perMember(f.config.BackoffMostPerMember))
+		together := time.Duration(f.crowd) * f.config.BackoffPerMember
+		first, most = max(first, together), max(most, together)
 	}
 	if f.isSupplied {
-		most = f.config.BackoffSupplied
+		most = max(most, f.config.BackoffSupplied)
 	}
 	doublings := min(f.failures-1, 10)
 	return min(first<<doublings, most)
--- a/internal/followed/followerconfig.go
+++ b/internal/followed/followerconfig.go
@@ -23,10 +23,10 @@
 	// and is drawn at random up to that.
 	BackoffFirst time.Duration
 	BackoffMost  time.Duration
-	// BackoffFirstPerMember and BackoffMostPerMember raise the two for each daemon that
-	// follows the store together with this one, unless it knows nothing.
-	BackoffFirstPerMember time.Duration
-	BackoffMostPerMember  time.Duration
+	// BackoffPerMember raises the two to as much for each daemon that follows the store
+	// together with this one, unless it knows nothing: all of them together make some
+	// 50 calls a second then, whatever their number.
+	BackoffPerMember time.Duration
 	// BackoffSupplied replaces BackoffMost while peers supply what the store does
 	// not tell this daemon.
 	BackoffSupplied time.Duration
@@ -84,8 +84,7 @@
 		// Machines of a fleet start within 300 ms of each other.
 		ColdSpread: SuppressionTimer{Most: 300 * time.Millisecond, Crowd: 1000},
 
-		BackoffFirstPerMember: 6 * time.Millisecond,
-		BackoffMostPerMember:  25 * time.Millisecond,
+		BackoffPerMember: 25 * time.Millisecond,
 
 		Retention: time.Minute,
 	}
