--- /dev/null
+++ b/internal/followed/serve.go
@@ -0,0 +1,87 @@
+package followed
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/passtray/passtray/internal/membership"
+)
+
+// takeMembers takes in the members that a peer knew. The first list is not passed on:
+// those on it hear of each other from the same peers.
+func (f *Fleet) takeMembers(now time.Time, members []membership.Member, output *FleetOutput) {
+	if !f.hasMembers && len(members) > 0 {
+		f.hasMembers = true
+		f.takeGroup(now, f.group.Adopt(now, members), output)
+		return
+	}
+	f.takeGroup(now, f.group.Merge(now, members), output)
+}
+
+// Serve answers a peer's pull.
+func (f *Fleet) Serve(now time.Time, pull *Pull) Delta {
+	f.meet(now, pull)
+	if pull.IsBusy || f.knowsNothing() {
+		return f.redirect(now, pull)
+	}
+	since := pull.Since
+	view := f.View()
+	if since < view.Forgotten() {
+		since = 0
+	}
+	delta := Delta{Since: since, Until: view.Revision(), Digest: f.Digest(now)}
+	if f.isBehind() {
+		delta.Ahead, delta.AheadRevision = f.aheadPeer, f.aheadRevision
+	}
+	if view.Revision() > since {
+		delta.Entries = view.EntriesSince(now, since, pull.Configuration)
+	}
+	if pull.Fingerprints != nil {
+		delta.Members = f.group.Lacking(pull.Fingerprints)
+	}
+	if pull.Asker.Identity.Address.IsValid() {
+		f.informed.add(pull.Asker.Identity.Address)
+	}
+	return delta
+}
+
+// meet takes in what a pull tells of the daemon that asks.
+func (f *Fleet) meet(now time.Time, pull *Pull) {
+	if !pull.Asker.Identity.Address.IsValid() {
+		return // an earlier version of the program does not say
+	}
+	var output FleetOutput
+	f.takeGroup(now, f.group.Merge(now, []membership.Member{pull.Asker}), &output)
+	if pull.Since > f.View().Revision() {
+		f.noteAhead(now, pull.Asker.Identity.Address, pull.Since)
+	}
+}
+
+// redirect names a daemon that knows more than the asker in the place of an answer.
+func (f *Fleet) redirect(now time.Time, pull *Pull) Delta {
+	delta := Delta{Since: pull.Since, Until: pull.Since, Digest: f.Digest(now), IsRedirect: true}
+	if other, found := f.drawInformed(pull.Asker); found {
+		delta.Ahead, delta.AheadRevision = other, max(f.View().Revision(), f.aheadRevision, pull.Since+1)
+	}
+	return delta
+}
+
+// drawInformed returns a daemon to which an asker can be sent: one with a fast link in
+// the asker's zone if there is one, else one with a fast link, else any.
+func (f *Fleet) drawInformed(asker membership.Member) (netip.AddrPort, bool) {
+	fast := fastLink(f.group.Live())
+	for _, isWanted := range []func(member *membership.Member) bool{
+		func(member *membership.Member) bool { return member.Zone == asker.Zone && linkOf(member) >= fast },
+		func(member *membership.Member) bool { return linkOf(member) >= fast },
+		func(*membership.Member) bool { return true },
+	} {
+		other, found := f.informed.draw(f.random, func(address netip.AddrPort) bool {
+			member, isLive := f.group.LiveAt(address)
+			return isLive && address != asker.Identity.Address && isWanted(&member)
+		})
+		if found {
+			return other, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
--- /dev/null
+++ b/internal/simulation/flows_targets.go
@@ -0,0 +1,93 @@
+package simulation
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/passtray/passtray/internal/followed"
+)
+
+// FlowTarget is one run of a back end in the model.
+type FlowTarget struct {
+	Key        string
+	Identifier uint64
+	Service    string
+	Address    netip.AddrPort
+	Zone       string
+	Alive      bool
+	// Mute has the target take flows and leave their requests unanswered.
+	Mute bool
+	// LeavingAt is when the store took its word that it leaves, or its removal;
+	// zero while it stays.
+	LeavingAt time.Time
+
+	flows map[*Flow]bool
+}
+
+// AddTarget starts a target at an address and has the store say so.
+func (m *FlowModel) AddTarget(service, zone string, address netip.AddrPort) *FlowTarget {
+	m.number++
+	target := &FlowTarget{
+		Key: fmt.Sprint("target-", m.number), Identifier: 0x1_0000_0000 + uint64(m.number), Service: service,
+		Address: address, Zone: zone, Alive: true, flows: map[*Flow]bool{},
+	}
+	m.targets[address] = target
+	m.putTarget(target, false)
+	return target
+}
+
+func (m *FlowModel) putTarget(target *FlowTarget, draining bool) {
+	m.Store.Put(followed.Entry{Key: target.Key, Target: &followed.Target{
+		Identifier: target.Identifier, Service: target.Service, Address: target.Address,
+		Zone: target.Zone, Slots: 2, Draining: draining,
+	}})
+}
+
+// DrainTarget has a target say that it leaves, serve on for a while, and end.
+func (m *FlowModel) DrainTarget(target *FlowTarget) {
+	target.LeavingAt = m.Clock.Now()
+	m.putTarget(target, true)
+	m.Clock.After(drainBound+500*time.Millisecond, func() {
+		m.end(target)
+		m.Store.Put(followed.Entry{Key: target.Key})
+	})
+}
+
+// RemoveTarget lets a target's entry go although it never said that it leaves; it
+// serves on for a while, and ends.
+func (m *FlowModel) RemoveTarget(target *FlowTarget) {
+	target.LeavingAt = m.Clock.Now()
+	m.Store.Put(followed.Entry{Key: target.Key})
+	m.Clock.After(drainBound+500*time.Millisecond, func() { m.end(target) })
+}
+
+// LapseTarget lets a target's entry go while the store is away, and has the target
+// renew it a while after, if it lives then and has not left.
+func (m *FlowModel) LapseTarget(target *FlowTarget, renewAfter time.Duration) {
+	if !target.LeavingAt.IsZero() {
+		return
+	}
+	m.Store.Put(followed.Entry{Key: target.Key})
+	m.Clock.After(renewAfter, func() {
+		if target.Alive && target.LeavingAt.IsZero() {
+			m.putTarget(target, false)
+		}
+	})
+}
+
+// CrashTarget ends a target without a word; its entry goes later.
+func (m *FlowModel) CrashTarget(target *FlowTarget) {
+	m.end(target)
+	m.Clock.After(3600*time.Millisecond, func() {
+		target.LeavingAt = m.Clock.Now()
+		m.Store.Put(followed.Entry{Key: target.Key})
+	})
+}
+
+func (m *FlowModel) end(target *FlowTarget) {
+	target.Alive = false
+	if m.targets[target.Address] == target {
+		delete(m.targets, target.Address)
+	}
+}
