--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -32,7 +32,7 @@
 	Digest []byte `cbor:"6,keyasint,omitempty"`
 	// Broadcasts are the application's news, opaque here.
 	Broadcasts [][]byte `cbor:"7,keyasint,omitempty"`
-	// Near is the application's word to members of the sender's zone, opaque here.
+	// Near is the application's message to members of the sender's zone, opaque here.
 	Near []byte `cbor:"8,keyasint,omitempty"`
 }
 
@@ -64,7 +64,7 @@
 	// Digests and Broadcasts are the application's, received.
 	Digests    []RemoteDigest
 	Broadcasts [][]byte
-	// Near are the application's words from members of this zone, received.
+	// Near are the application's messages from members of this zone, received.
 	Near [][]byte
 	// Joined names a member through which the whole list can be fetched.
 	Joined []identity.Identity
