Drain: the test of a frozen daemon's stop can fail

Cause: found by reading again: it held the drain to 20 s, which the old bound of 5 s kept, too.

Behaviour is unchanged; both tests pass.

--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -35,8 +35,10 @@
 	site.putTarget()
 	node := site.start(t, 0, site.store, logr.Discard())
 	waitFor(t, "readiness", func() bool { return node.Ready() == "" })
+	assert.Equal(t, node.drainBound(time.Now()), node.settings.DrainMaximum())
 	node.stillFor.Store(int64(node.settings.DrainMaximum()))
 	node.wokeAt.Store(time.Now().Add(time.Minute).UnixNano())
+	assert.Equal(t, node.drainBound(time.Now()), time.Duration(0), "its time is over")
 	node.plane.counters.LastReceived.Store(time.Now().Add(time.Hour).UnixNano()) // packets keep coming
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
