View: entries by kind

Cause: configuration and targets are held by hand, a set of fields each; a third kind of entry, the operators' orders, would make a third set.

Ruled out: a third set of fields beside the two.

--- /dev/null
+++ b/internal/followed/records.go
@@ -0,0 +1,175 @@
+package followed
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Record is what is known of an entry besides its content.
+type Record struct {
+	// Key and Revision are the store's.
+	Key      string
+	Revision uint64
+	// Gone says that the store holds the entry no more.
+	Gone bool
+	// LearnedAt is when the state above was learned by whoever read it first.
+	LearnedAt time.Time
+}
+
+func (r *Record) record() *Record { return r }
+
+// known is an entry of one kind as it was learned last.
+type known interface {
+	record() *Record
+	// state is what a log line says of the entry.
+	state() string
+	// described is the entry as another daemon is told of it now, apart from the fields
+	// of its record.
+	described(now time.Time) Entry
+	// note adds to a change that the entry differs from before; hasNewState says that
+	// its state does.
+	note(change *Change, hasNewState bool)
+}
+
+// tombstones hold the revisions of removals whose entry is not held, so that older news
+// of the key from elsewhere cannot bring it back.
+type tombstones map[string]tombstone
+
+type tombstone struct {
+	revision uint64
+	at       time.Time
+}
+
+func (t tombstones) add(key string, revision uint64, at time.Time) {
+	if revision > t[key].revision {
+		t[key] = tombstone{revision: revision, at: at}
+	}
+}
+
+func (t tombstones) expire(now time.Time, retention time.Duration) {
+	for key, removed := range t {
+		if now.Sub(removed.at) >= retention {
+			delete(t, key)
+		}
+	}
+}
+
+// records are the entries of one kind, a last-writer-wins map by key. An entry that
+// went is kept for the retention: others are told of it, and what it described may
+// live on.
+type records[K known] struct {
+	removed tombstones
+	byKey   map[string]K
+	// gone are the keys of the entries that went. They are few, so that expiry need
+	// not look at all.
+	gone map[string]bool
+}
+
+func newRecords[K known](removed tombstones) *records[K] {
+	return &records[K]{removed: removed, byKey: map[string]K{}, gone: map[string]bool{}}
+}
+
+// present returns how many entries the store holds.
+func (r *records[K]) present() int { return len(r.byKey) - len(r.gone) }
+
+// sorted returns all entries by key, those that went among them.
+func (r *records[K]) sorted() []K {
+	all := make([]K, 0, len(r.byKey))
+	for _, held := range r.byKey {
+		all = append(all, held)
+	}
+	slices.SortFunc(all, func(a, b K) int { return cmp.Compare(a.record().Key, b.record().Key) })
+	return all
+}
+
+// merge takes in an entry. One from before the revision up to which everything is known,
+// under a key that is not held, tells of something that has gone since.
+func (r *records[K]) merge(learned K, upTo uint64, change *Change) {
+	record := learned.record()
+	if record.Revision <= r.removed[record.Key].revision {
+		return
+	}
+	held, isHeld := r.byKey[record.Key]
+	if isHeld && record.Revision <= held.record().Revision {
+		return
+	}
+	record.Gone = !isHeld && record.Revision <= upTo
+	r.byKey[record.Key] = learned
+	delete(r.gone, record.Key)
+	if record.Gone {
+		r.gone[record.Key] = true
+	}
+	delete(r.removed, record.Key)
+	learned.note(change, !isHeld || held.state() != learned.state())
+}
+
+// remove takes in a removal and reports whether the key is of this kind.
+func (r *records[K]) remove(key string, revision uint64, at time.Time, change *Change) bool {
+	held, isHeld := r.byKey[key]
+	if isHeld && revision > held.record().Revision {
+		r.end(held, revision, at, change)
+	}
+	return isHeld
+}
+
+// conclude removes what is known from before the revision of a list and not listed. The
+// removal's revision is the list's, so that a later return counts as newer.
+func (r *records[K]) conclude(isListed map[string]bool, revision uint64, at time.Time, change *Change) {
+	for key, held := range r.byKey {
+		if !isListed[key] && held.record().Revision <= revision {
+			r.end(held, revision, at, change)
+		}
+	}
+}
+
+func (r *records[K]) end(held K, revision uint64, at time.Time, change *Change) {
+	record := held.record()
+	if !record.Gone {
+		record.Gone = true
+		record.LearnedAt = at
+		r.gone[record.Key] = true
+		held.note(change, true)
+	}
+	record.Revision = max(record.Revision, revision)
+}
+
+// expire forgets entries that went longer than the retention ago, and returns the
+// highest revision of those.
+func (r *records[K]) expire(now time.Time, retention time.Duration, change *Change) (forgotten uint64) {
+	for key := range r.gone {
+		held := r.byKey[key]
+		record := held.record()
+		if now.Sub(record.LearnedAt) < retention {
+			continue
+		}
+		delete(r.byKey, key)
+		delete(r.gone, key)
+		r.removed.add(key, record.Revision, now)
+		forgotten = max(forgotten, record.Revision)
+		held.note(change, false)
+	}
+	return forgotten
+}
+
+// since returns what was learned after a revision, in no order. An entry that went is
+// told as it was and then removed, so that what it described is known to others, too.
+func (r *records[K]) since(now time.Time, revision uint64) []Entry {
+	var entries []Entry
+	for _, held := range r.byKey {
+		record := held.record()
+		if record.Revision <= revision {
+			continue
+		}
+		entry := held.described(now)
+		entry.Key, entry.Revision, entry.Age = record.Key, record.Revision, max(0, now.Sub(record.LearnedAt))
+		if record.Gone {
+			removal := Entry{Key: entry.Key, Revision: entry.Revision, Age: entry.Age}
+			entry.Revision--
+			entries = append(entries, entry, removal)
+			continue
+		}
+		entries = append(entries, entry)
+	}
+	return entries
+}
--- /dev/null
+++ b/internal/followed/targets.go
@@ -0,0 +1,53 @@
+package followed
+
+import "time"
+
+// KnownTarget is a target as it was learned last. That the store holds it no more is no
+// proof of its death: its open flows are routed on until they must have ended.
+type KnownTarget struct {
+	Record
+	Target
+	// WarmAt is when the target is no longer slow from its start.
+	WarmAt time.Time
+}
+
+// The states of a target.
+const (
+	StateOpen     = "open"     // gets new flows
+	StateDraining = "draining" // keeps its flows
+	StateGone     = "gone"     // no longer in the store; keeps its flows
+)
+
+func newKnownTarget(record Record, target *Target) *KnownTarget {
+	return &KnownTarget{Record: record, Target: *target, WarmAt: record.LearnedAt.Add(target.ColdFor)}
+}
+
+// State names what the target is.
+func (t *KnownTarget) State() string {
+	switch {
+	case t.Gone:
+		return StateGone
+	case t.Draining:
+		return StateDraining
+	}
+	return StateOpen
+}
+
+func (t *KnownTarget) state() string { return t.State() }
+
+func (t *KnownTarget) described(now time.Time) Entry {
+	target := t.Target
+	target.ColdFor = max(0, t.WarmAt.Sub(now))
+	if !t.Gone {
+		// Whoever is told counts from when the state was learned.
+		target.ColdFor += max(0, now.Sub(t.LearnedAt))
+	}
+	return Entry{Target: &target}
+}
+
+func (t *KnownTarget) note(change *Change, hasNewState bool) {
+	change.Targets = true
+	if hasNewState {
+		change.detail(t.Key, t.State())
+	}
+}
--- /dev/null
+++ b/internal/followed/versions.go
@@ -0,0 +1,83 @@
+package followed
+
+import (
+	"fmt"
+	"time"
+)
+
+// versions is the configuration in force and how it came to be. Unlike other entries it
+// is never removed: the last good version stands.
+type versions struct {
+	current   *Configuration
+	key       string
+	revision  uint64
+	learnedAt time.Time
+	history   history
+}
+
+// merge takes a newer version.
+func (v *versions) merge(learned time.Time, entry *Entry, change *Change) {
+	if entry.Revision <= v.revision {
+		return
+	}
+	var difference *Difference
+	if v.current != nil {
+		difference = differenceOf(v.current, v.revision, entry.Configuration)
+	}
+	v.install(learned, entry, entry.Configuration, difference, change)
+}
+
+// mergeDifference takes a newer version that is told as a difference of the one that is
+// held; of another one it says only that there is news.
+func (v *versions) mergeDifference(learned time.Time, entry *Entry, change *Change) {
+	if entry.Revision <= v.revision {
+		return
+	}
+	var next *Configuration
+	if v.current != nil && entry.Difference.Base == v.revision {
+		next = entry.Difference.apply(v.current)
+	}
+	if next == nil {
+		change.LacksBase = true
+		return
+	}
+	v.install(learned, entry, next, entry.Difference, change)
+}
+
+func (v *versions) install(learned time.Time, entry *Entry, next *Configuration, difference *Difference, change *Change) {
+	if v.current != nil && next.Version < v.current.Version {
+		change.Refused = append(change.Refused, fmt.Sprintf("%s: version %d is below %d, which is in force",
+			entry.Key, next.Version, v.current.Version))
+		return
+	}
+	v.current = next
+	v.key = entry.Key
+	v.revision = entry.Revision
+	v.learnedAt = learned
+	v.history.add(difference, entry.Revision)
+	change.Configuration = true
+}
+
+// since returns what others lack who know everything up to a revision and hold the
+// version of another: differences if they are known here and any base is held there.
+func (v *versions) since(now time.Time, revision, held uint64) []Entry {
+	if v.current == nil || v.revision <= revision {
+		return nil
+	}
+	if entries, found := v.differencesSince(now, held); found && revision > 0 {
+		return entries
+	}
+	return []Entry{{Key: v.key, Revision: v.revision, Configuration: v.current, Age: now.Sub(v.learnedAt)}}
+}
+
+// differencesSince returns the steps from the version of a revision to the one in force;
+// found is false if they are not known.
+func (v *versions) differencesSince(now time.Time, revision uint64) (entries []Entry, found bool) {
+	steps, found := v.history.since(revision)
+	for _, step := range steps {
+		entries = append(entries, Entry{
+			Key: v.key, Revision: step.revision, Difference: step.difference, Age: now.Sub(v.learnedAt),
+		})
+	}
+	return entries, found
+}
