Liveness: callers of dead targets are told at once

Change: internal/liveness. A daemon whose callers send again tells the target's judges (rendezvous hashing); a judge with the word of two daemons, two flows and three sends asks all daemons, probes the target by a connection, and waits 150 ms for objections; the silence must span eight signs of life that were to be expected (0.4 to 1.5 s). Then all know: flows that wait are reset, others with their next packet, for 3 s, until anybody hears from the target. A target whose address another one uses has ended for certain. A daemon that has forwarded nothing since the silence began that was answered neither reports nor judges.

--- /dev/null
+++ b/internal/followed/liveness.go
@@ -0,0 +1,100 @@
+package followed
+
+import (
+	"cmp"
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/passtray/passtray/internal/liveness"
+	"github.com/passtray/passtray/internal/membership"
+)
+
+// mostReportsAtOnce bounds the reports of one datagram, some 20 bytes each.
+const mostReportsAtOnce = 40
+
+// TellLiveness makes the datagrams that carry reports on targets' lives. They go straight to
+// whom they are for: gossip repeats each piece of news a dozen times at every daemon,
+// which a lost zone, with hundreds of silent targets, would fill for many seconds.
+func (f *Fleet) TellLiveness(reports []liveness.Outgoing) []membership.Datagram {
+	if len(reports) == 0 {
+		return nil
+	}
+	var order []netip.AddrPort
+	batches := map[netip.AddrPort][]liveness.Report{}
+	for index := range reports {
+		for rank, address := range f.audience(&reports[index]) {
+			if address == f.self.Identity.Address {
+				continue
+			}
+			if batches[address] == nil {
+				order = append(order, address)
+			}
+			report := reports[index].Report
+			if reports[index].Judges > 0 {
+				report.Rank = rank
+			}
+			batches[address] = append(batches[address], report)
+		}
+	}
+	var datagrams []membership.Datagram
+	for _, address := range order {
+		for batch := range slices.Chunk(batches[address], mostReportsAtOnce) {
+			datagrams = append(datagrams, f.group.Tell(address, encode(batch)))
+		}
+	}
+	return datagrams
+}
+
+// audience returns the daemons that a report is for, this one perhaps among them.
+func (f *Fleet) audience(report *liveness.Outgoing) []netip.AddrPort {
+	if report.To.IsValid() {
+		return []netip.AddrPort{report.To}
+	}
+	var all []netip.AddrPort
+	for _, member := range f.group.Live() {
+		all = append(all, member.Identity.Address)
+	}
+	if report.Judges > 0 {
+		return judgesOf(report.Target, all, report.Judges)
+	}
+	return all
+}
+
+// judgesOf returns the first daemons for a target by rendezvous hashing: all daemons
+// choose the same ones, as far as they agree on who lives (Thaler, Ravishankar, "Using
+// Name-Based Mappings to Increase Hit Rates", 1998).
+func judgesOf(target uint64, daemons []netip.AddrPort, count int) []netip.AddrPort {
+	slices.SortFunc(daemons, func(a, b netip.AddrPort) int { return cmp.Compare(judgeRank(target, b), judgeRank(target, a)) })
+	return daemons[:min(count, len(daemons))]
+}
+
+func judgeRank(target uint64, daemon netip.AddrPort) uint64 {
+	var key [26]byte
+	binary.BigEndian.PutUint64(key[:8], target)
+	address := daemon.Addr().As16()
+	copy(key[8:], address[:])
+	binary.BigEndian.PutUint16(key[24:], daemon.Port())
+	return xxhash.Sum64(key[:])
+}
+
+// takeLiveness takes in reports on targets' lives. One that may be old says nothing: its age
+// counts from when it was sent.
+func (f *Fleet) takeLiveness(now time.Time, messages []membership.DirectMessage, into *FleetOutput) {
+	if f.pause.mayBeOld(now) {
+		return
+	}
+	for _, message := range messages {
+		var reports []liveness.Report
+		if cbor.Unmarshal(message.Payload, &reports) != nil {
+			continue // of another version of the program
+		}
+		for _, report := range reports {
+			into.Liveness = append(into.Liveness, liveness.Received{Report: report, From: message.From.Address})
+		}
+	}
+}
--- /dev/null
+++ b/internal/liveness/config.go
@@ -0,0 +1,53 @@
+package liveness
+
+import "time"
+
+// Config holds a detector's bounds.
+type Config struct {
+	// Reporters, Flows and Sends are from how many daemons and flows, and how many
+	// packets sent again, evidence must come. One daemon may have lost its path to the
+	// target, and single packets are lost.
+	Reporters int
+	Flows     int
+	Sends     int
+	// LeastSilence and MostSilence bound how long nobody may have heard from a target
+	// before it is held for dead. Between them the silence must span SignsMissed signs
+	// of life that were to be expected: so many do not fail to appear by chance (Hayashibara
+	// et al., "The φ Accrual Failure Detector", 2004).
+	LeastSilence time.Duration
+	MostSilence  time.Duration
+	SignsMissed  float64
+	// ObjectFor is how long daemons that heard from the target have to say so when they
+	// are asked (the suspicion of SWIM: Das, Gupta, Motivala, 2002). It must exceed a
+	// round trip and the time in which a busy daemon reads its datagrams.
+	ObjectFor time.Duration
+	// Window is how long evidence counts.
+	Window time.Duration
+	// HoldFor is how long a verdict holds. Then flows reach the target again, and show
+	// whether it is still dead.
+	HoldFor time.Duration
+	// FirstJudges is how many daemons are told of a silence at first; each further time
+	// it is twice as many, up to MostJudges, as some of them may have gone.
+	FirstJudges int
+	MostJudges  int
+}
+
+// DefaultConfig suits targets that acknowledge within 100 ms, and callers that send again
+// after 200 ms.
+func DefaultConfig() Config {
+	return Config{
+		Reporters: 2,
+		Flows:     2,
+		Sends:     3,
+
+		LeastSilence: 400 * time.Millisecond,
+		MostSilence:  1500 * time.Millisecond,
+		SignsMissed:  8,
+		ObjectFor:    150 * time.Millisecond,
+		Window:       3 * time.Second,
+		HoldFor:      3 * time.Second,
+
+		FirstJudges: 2,
+		MostJudges:  8,
+	}
+}
--- /dev/null
+++ b/internal/liveness/detector.go
@@ -0,0 +1,279 @@
+// Package liveness finds targets that are dead: callers at several daemons send again what
+// nobody acknowledges, and no daemon sees a sign of life. A daemon that suspects a target
+// tells a few judges, chosen by the target; a judge with the word of several asks all
+// daemons, and those that have heard from the target object. It also probes the target
+// itself. If nobody hears from it in time, the judge tells all that the target is dead,
+// until anybody does.
+//
+// A target that is slow, overloaded or fails requests acknowledges what it receives, and
+// is not suspected. One that some daemons cannot reach answers the judge's probe, or is
+// heard from by others. A daemon that has forwarded nothing since a silence began that was
+// answered has likely lost its own path, and neither reports nor judges.
+//
+// The package holds no clock, socket or randomness; it is not safe for concurrent use.
+package liveness
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Verdict is the decision that a target is dead.
+type Verdict struct {
+	Target uint64
+	// Until is how long it holds.
+	Until time.Time
+	// Silence is for how long nobody has heard from the target. Reporters, Flows and Sends
+	// are what decided; they are 0 if another daemon did.
+	Silence                 time.Duration
+	Reporters, Flows, Sends int
+}
+
+// Output is what one step brought forth.
+type Output struct {
+	Dead []Verdict
+	// Alive are targets that were held for dead and are not.
+	Alive   []uint64
+	Reports []Outgoing
+	// Probes are targets to be probed: the outcome is to be told to Probed, whatever it
+	// is.
+	Probes []uint64
+}
+
+// Directory tells what this daemon knows of targets.
+type Directory interface {
+	// IsRoutable reports whether flows of a target are forwarded.
+	IsRoutable(target uint64) bool
+	// LastLife is when this daemon last saw that a target sent something, zero if it
+	// never did.
+	LastLife(target uint64) time.Time
+	// ExpectedRate is how many signs of life of a target all daemons together are
+	// expected to see in a second.
+	ExpectedRate(target uint64) float64
+	// LastAnswered is when this daemon forwarded the latest request that some target has
+	// answered.
+	LastAnswered() time.Time
+}
+
+// Detector is one daemon's part.
+type Detector struct {
+	config   Config
+	suspects map[uint64]*suspect
+	// observed are reports on what was observed since the last tick.
+	observed Output
+}
+
+// New makes a detector.
+func New(config Config) *Detector {
+	return &Detector{config: config, suspects: map[uint64]*suspect{}}
+}
+
+// self is this daemon as a reporter.
+var self netip.AddrPort
+
+// Observe takes in that a caller of this daemon sent data again on a flow; the target had
+// not acknowledged it since a time. What is to be told of it comes with the next tick.
+func (d *Detector) Observe(now time.Time, directory Directory, target, flow uint64, since time.Time) {
+	if !directory.IsRoutable(target) || !reachesTargets(directory, since) {
+		return
+	}
+	suspected := d.suspect(target)
+	suspected.seeLife(directory.LastLife(target))
+	if !suspected.lifeAt.Before(since) || suspected.isDead(now) {
+		return
+	}
+	own, isHeld := suspected.evidence[self]
+	if !isHeld {
+		own.since = since
+		clear(suspected.flows)
+		suspected.told = 0
+	}
+	suspected.flows[flow] = true
+	own.flows, own.sends, own.until = len(suspected.flows), own.sends+1, now.Add(d.config.Window)
+	suspected.evidence[self] = own
+	judges := min(d.config.FirstJudges<<min(suspected.told, maximumDoublings), d.config.MostJudges)
+	suspected.told++
+	report := Report{Target: target, Kind: Silent, Flows: own.flows, Sends: own.sends}
+	d.observed.tell(Outgoing{Judges: judges, Report: report}, now.Sub(own.since))
+}
+
+// reachesTargets reports whether what this daemon forwarded since a time was answered, so
+// that a silence since then is not its own path's.
+func reachesTargets(directory Directory, since time.Time) bool {
+	return directory.LastAnswered().After(since)
+}
+
+// Probed takes in whether a target that was to be probed answered.
+func (d *Detector) Probed(now time.Time, target uint64, hasAnswered bool) {
+	suspected := d.suspects[target]
+	switch {
+	case suspected == nil:
+	case hasAnswered:
+		suspected.seeLife(now)
+	default:
+		suspected.probeFailed = true
+	}
+}
+
+// maximumDoublings keeps the doubling of judges within its type.
+const maximumDoublings = 10
+
+// suspect returns what is held of a target.
+func (d *Detector) suspect(target uint64) *suspect {
+	suspected := d.suspects[target]
+	if suspected == nil {
+		suspected = newSuspect()
+		d.suspects[target] = suspected
+	}
+	return suspected
+}
+
+// tell adds a report on something of an age.
+func (o *Output) tell(outgoing Outgoing, age time.Duration) {
+	outgoing.AgeMilliseconds = uint32(max(0, age).Milliseconds())
+	o.Reports = append(o.Reports, outgoing)
+}
+
+// Hear takes in others' reports.
+func (d *Detector) Hear(now time.Time, directory Directory, reports []Received) Output {
+	var output Output
+	for index := range reports {
+		if directory.IsRoutable(reports[index].Target) {
+			d.hearOne(now, directory, &reports[index], &output)
+		}
+	}
+	return output
+}
+
+func (d *Detector) hearOne(now time.Time, directory Directory, report *Received, output *Output) {
+	suspected := d.suspect(report.Target)
+	suspected.seeLife(directory.LastLife(report.Target))
+	since := now.Add(-report.Age())
+	if report.Kind != Alive && !suspected.lifeAt.Before(since) {
+		d.object(now, report, suspected, output)
+		return
+	}
+	switch report.Kind {
+	case Silent:
+		if suspected.isDead(now) {
+			verdict := Outgoing{To: report.From, Report: Report{Target: report.Target, Kind: Dead}}
+			output.tell(verdict, now.Sub(suspected.silentSince))
+			return
+		}
+		suspected.rank = report.Rank
+		suspected.evidence[report.From] = evidence{since: since, until: now.Add(d.config.Window), flows: report.Flows, sends: report.Sends}
+	case Asked:
+		if suspected.askedAt.IsZero() {
+			suspected.askedAt = now
+		}
+	case Alive:
+		suspected.seeLife(since)
+		d.revive(now, report.Target, suspected, output)
+	case Dead:
+		if !suspected.isDead(now) && reachesTargets(directory, since) {
+			d.bury(now, report.Target, suspected, Verdict{Silence: report.Age()}, output)
+		}
+	}
+}
+
+// object answers with a sign of life that the sender of a report does not know of. After a
+// verdict all have to know.
+func (d *Detector) object(now time.Time, report *Received, suspected *suspect, output *Output) {
+	objection := Outgoing{Report: Report{Target: report.Target, Kind: Alive}}
+	if report.Kind != Dead {
+		objection.To = report.From
+	}
+	output.tell(objection, now.Sub(suspected.lifeAt))
+}
+
+// revive takes a verdict back after a sign of life.
+func (d *Detector) revive(now time.Time, target uint64, suspected *suspect, output *Output) {
+	if suspected.isDead(now) && suspected.lifeAt.After(suspected.silentSince) {
+		suspected.deadUntil = time.Time{}
+		output.Alive = append(output.Alive, target)
+	}
+}
+
+// bury holds a target for dead.
+func (d *Detector) bury(now time.Time, target uint64, suspected *suspect, verdict Verdict, output *Output) {
+	verdict.Target = target
+	verdict.Until = now.Add(d.config.HoldFor)
+	suspected.deadUntil = verdict.Until
+	suspected.silentSince = now.Add(-verdict.Silence)
+	clear(suspected.evidence)
+	suspected.forgetQuestion()
+	output.Dead = append(output.Dead, verdict)
+}
+
+// Tick lets time pass.
+func (d *Detector) Tick(now time.Time, directory Directory) Output {
+	output := d.observed
+	d.observed = Output{}
+	for target, suspected := range d.suspects {
+		suspected.expire(now)
+		wasDead := suspected.isDead(now)
+		if suspected.seeLife(directory.LastLife(target)) {
+			d.revive(now, target, suspected, &output)
+		}
+		if wasDead && !suspected.isDead(now) {
+			output.tell(Outgoing{Report: Report{Target: target, Kind: Alive}}, now.Sub(suspected.lifeAt))
+		}
+		d.judge(now, directory, target, suspected, &output)
+		if suspected.isOver(now) {
+			delete(d.suspects, target)
+		}
+	}
+	return output
+}
+
+// judge asks all about a target against which there is enough evidence, and holds it for
+// dead if nobody objected in time.
+func (d *Detector) judge(now time.Time, directory Directory, target uint64, suspected *suspect, output *Output) {
+	flows, sends, since := suspected.weigh()
+	if !d.isEnough(suspected) || suspected.isDead(now) || !reachesTargets(directory, since) {
+		return
+	}
+	silence := now.Sub(since)
+	if suspected.enoughAt.IsZero() {
+		suspected.enoughAt = now
+	}
+	if !suspected.askedHere {
+		if d.isTurn(now, suspected) {
+			suspected.askedAt, suspected.askedHere = now, true
+			output.tell(Outgoing{Report: Report{Target: target, Kind: Asked}}, silence)
+			output.Probes = append(output.Probes, target)
+		}
+		return
+	}
+	if !suspected.probeFailed || now.Sub(suspected.askedAt) < d.config.ObjectFor || silence < d.silenceNeeded(directory.ExpectedRate(target)) {
+		return
+	}
+	verdict := Verdict{Silence: silence, Reporters: len(suspected.evidence), Flows: flows, Sends: sends}
+	output.tell(Outgoing{Report: Report{Target: target, Kind: Dead}}, silence)
+	d.bury(now, target, suspected, verdict, output)
+}
+
+// isTurn reports whether it is on this judge to ask: those that rank above it did not, or
+// came to no verdict.
+func (d *Detector) isTurn(now time.Time, suspected *suspect) bool {
+	if suspected.askedAt.IsZero() {
+		return now.Sub(suspected.enoughAt) >= time.Duration(suspected.rank)*d.config.ObjectFor
+	}
+	return now.Sub(suspected.askedAt) >= 2*d.config.ObjectFor
+}
+
+// isEnough reports whether the evidence suffices to ask all.
+func (d *Detector) isEnough(suspected *suspect) bool {
+	flows, sends, _ := suspected.weigh()
+	return len(suspected.evidence) >= d.config.Reporters && flows >= d.config.Flows && sends >= d.config.Sends
+}
+
+// silenceNeeded is how long a target must be silent, given how many signs of life are
+// expected in a second.
+func (d *Detector) silenceNeeded(rate float64) time.Duration {
+	if rate <= 0 {
+		return d.config.MostSilence
+	}
+	needed := time.Duration(d.config.SignsMissed / rate * float64(time.Second))
+	return min(max(needed, d.config.LeastSilence), d.config.MostSilence)
+}
--- /dev/null
+++ b/internal/liveness/detector_test.go
@@ -0,0 +1,313 @@
+package liveness
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var testStart = time.Unix(1_800_000_000, 0)
+
+const (
+	target   = 7
+	fastRate = 40 // signs of life a second: LeastSilence decides
+	slowRate = 1  // MostSilence decides
+)
+
+// fakeDirectory is what one daemon knows.
+type fakeDirectory struct {
+	life     time.Time
+	rate     float64
+	isCutOff bool
+	now      *time.Time
+}
+
+func (f *fakeDirectory) IsRoutable(uint64) bool      { return true }
+func (f *fakeDirectory) LastLife(uint64) time.Time   { return f.life }
+func (f *fakeDirectory) ExpectedRate(uint64) float64 { return f.rate }
+func (f *fakeDirectory) LastAnswered() time.Time {
+	if f.isCutOff {
+		return testStart.Add(-time.Minute)
+	}
+	return *f.now
+}
+
+// group is daemons that hear each other's reports after a delay.
+type group struct {
+	now         time.Time
+	detectors   []*Detector
+	directories []*fakeDirectory
+	verdicts    map[int]Verdict
+	revived     map[int]int
+	delayed     []delivery
+	// answersProbes says that the target does.
+	answersProbes bool
+	// sent counts reports times those whom they went to.
+	sent int
+}
+
+type delivery struct {
+	at     time.Time
+	to     int
+	report Received
+}
+
+// travel is how long a datagram takes, and is read.
+const travel = 20 * time.Millisecond
+
+func newGroup(daemons int) *group {
+	made := &group{now: testStart, verdicts: map[int]Verdict{}, revived: map[int]int{}}
+	for range daemons {
+		made.detectors = append(made.detectors, New(DefaultConfig()))
+		made.directories = append(made.directories, &fakeDirectory{rate: fastRate, now: &made.now})
+	}
+	return made
+}
+
+// repeat has a caller of a daemon send again now what it sent 200 ms before.
+func (g *group) repeat(daemon int, flow uint64) {
+	g.detectors[daemon].Observe(g.now, g.directories[daemon], target, flow, g.now.Add(-200*time.Millisecond))
+}
+
+// advance lets time pass in steps of 10 ms.
+func (g *group) advance(span time.Duration) {
+	for end := g.now.Add(span); g.now.Before(end); {
+		g.now = g.now.Add(10 * time.Millisecond)
+		arrived := g.delayed
+		g.delayed = nil
+		for _, message := range arrived {
+			if message.at.After(g.now) {
+				g.delayed = append(g.delayed, message)
+				continue
+			}
+			g.take(message.to, g.detectors[message.to].Hear(g.now, g.directories[message.to], []Received{message.report}))
+		}
+		for index, detector := range g.detectors {
+			g.take(index, detector.Tick(g.now, g.directories[index]))
+		}
+	}
+}
+
+func (g *group) take(index int, output Output) {
+	for _, verdict := range output.Dead {
+		g.verdicts[index] = verdict
+	}
+	g.revived[index] += len(output.Alive)
+	for _, target := range output.Probes {
+		g.detectors[index].Probed(g.now, target, g.answersProbes)
+	}
+	for _, outgoing := range output.Reports {
+		for to := range g.detectors {
+			if to != index && g.isFor(&outgoing, to) {
+				g.sent++
+				report := outgoing.Report
+				if outgoing.Judges > 0 {
+					report.Rank = len(g.detectors) - 1 - to
+				}
+				g.delayed = append(g.delayed, delivery{g.now.Add(travel), to, Received{report, addressOf(index)}})
+			}
+		}
+	}
+}
+
+// isFor chooses the last daemons for judges: the tests' evidence comes from the first.
+func (g *group) isFor(outgoing *Outgoing, to int) bool {
+	switch {
+	case outgoing.To.IsValid():
+		return outgoing.To == addressOf(to)
+	case outgoing.Judges > 0:
+		return to >= len(g.detectors)-outgoing.Judges
+	}
+	return true
+}
+
+func addressOf(daemon int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(daemon)}), 8166)
+}
+
+func TestSilenceAtSeveralDaemonsIsDeath(t *testing.T) {
+	group := newGroup(5)
+	group.repeat(0, 1)
+	group.repeat(1, 2)
+	group.repeat(1, 3)
+	group.advance(500 * time.Millisecond)
+	assert.Equal(t, len(group.verdicts), 5, "all daemons know: %v", group.verdicts)
+	for _, verdict := range group.verdicts {
+		assert.Assert(t, verdict.Silence >= DefaultConfig().LeastSilence)
+	}
+}
+
+func TestWhatOneDaemonSeesIsNotEnough(t *testing.T) {
+	group := newGroup(5)
+	for flow := range uint64(10) {
+		group.repeat(0, flow)
+		group.advance(200 * time.Millisecond)
+	}
+	assert.Equal(t, len(group.verdicts), 0)
+}
+
+func TestOneFlowIsNotEnough(t *testing.T) {
+	group := newGroup(5)
+	for range 10 {
+		group.repeat(0, 1)
+		group.advance(200 * time.Millisecond)
+	}
+	assert.Equal(t, len(group.verdicts), 0)
+}
+
+// TestWhoeverHearsFromTheTargetObjects: two daemons cannot reach a target that a third
+// one hears from.
+func TestWhoeverHearsFromTheTargetObjects(t *testing.T) {
+	group := newGroup(5)
+	for range 20 {
+		group.repeat(0, 1)
+		group.repeat(1, 2)
+		group.repeat(1, 3)
+		group.directories[4].life = group.now
+		group.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(group.verdicts), 0, "%v", group.verdicts)
+}
+
+// TestWithoutObjectionsALivingTargetIsBuried shows what the objections are for.
+func TestWithoutObjectionsALivingTargetIsBuried(t *testing.T) {
+	group := newGroup(5)
+	group.detectors = group.detectors[:4] // the one that hears from the target says nothing
+	group.directories = group.directories[:4]
+	for range 20 {
+		group.repeat(0, 1)
+		group.repeat(1, 2)
+		group.repeat(1, 3)
+		group.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(group.verdicts), 4)
+}
+
+// TestAProbeThatIsAnsweredIsLife: nobody but the two daemons that cannot reach the target
+// have callers there.
+func TestAProbeThatIsAnsweredIsLife(t *testing.T) {
+	group := newGroup(5)
+	group.answersProbes = true
+	for range 20 {
+		group.repeat(0, 1)
+		group.repeat(1, 2)
+		group.repeat(1, 3)
+		group.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(group.verdicts), 0)
+}
+
+func TestALifeSignBetweenTwoSendsIsNoSilence(t *testing.T) {
+	group := newGroup(3)
+	for index := range group.directories {
+		group.directories[index].life = group.now.Add(-100 * time.Millisecond)
+	}
+	group.repeat(0, 1)
+	group.repeat(1, 2)
+	group.repeat(1, 3)
+	group.advance(time.Second)
+	assert.Equal(t, len(group.verdicts), 0)
+}
+
+// TestARarelyUsedTargetIsSilentForLonger: where signs of life are rare, their absence says
+// little.
+func TestARarelyUsedTargetIsSilentForLonger(t *testing.T) {
+	group := newGroup(3)
+	for index := range group.directories {
+		group.directories[index].rate = slowRate
+	}
+	group.repeat(0, 1)
+	group.repeat(1, 2)
+	group.repeat(1, 3)
+	group.advance(time.Second)
+	assert.Equal(t, len(group.verdicts), 0)
+	group.advance(500 * time.Millisecond)
+	assert.Equal(t, len(group.verdicts), 3)
+}
+
+// TestADaemonThatReachesNobodyDoesNotJudge: its own path is lost.
+func TestADaemonThatReachesNobodyDoesNotJudge(t *testing.T) {
+	group := newGroup(3)
+	group.directories[0].isCutOff = true
+	group.directories[1].isCutOff = true
+	for range 10 {
+		group.repeat(0, 1)
+		group.repeat(1, 2)
+		group.repeat(1, 3)
+		group.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(group.verdicts), 0)
+}
+
+func TestASignOfLifeTakesTheVerdictBackEverywhere(t *testing.T) {
+	group := newGroup(5)
+	group.repeat(0, 1)
+	group.repeat(1, 2)
+	group.repeat(1, 3)
+	group.advance(500 * time.Millisecond)
+	assert.Equal(t, len(group.verdicts), 5)
+	group.directories[3].life = group.now
+	group.advance(200 * time.Millisecond)
+	for index := range group.detectors {
+		assert.Equal(t, group.revived[index], 1, "daemon %d", index)
+	}
+}
+
+// TestAVerdictRunsOutAndIsFoundAgain: a target that was held for dead gets packets again,
+// so that it can show that it lives.
+func TestAVerdictRunsOutAndIsFoundAgain(t *testing.T) {
+	group := newGroup(3)
+	group.repeat(0, 1)
+	group.repeat(1, 2)
+	group.repeat(1, 3)
+	group.advance(DefaultConfig().HoldFor + time.Second)
+	clear(group.verdicts)
+	group.repeat(0, 4)
+	group.repeat(1, 5)
+	group.repeat(1, 6)
+	group.advance(500 * time.Millisecond)
+	assert.Equal(t, len(group.verdicts), 3)
+}
+
+// TestWhoMissedTheVerdictLearnsItWhenItReports.
+func TestWhoMissedTheVerdictLearnsItWhenItReports(t *testing.T) {
+	group := newGroup(5)
+	group.repeat(0, 1)
+	group.repeat(1, 2)
+	group.repeat(1, 3)
+	group.advance(500 * time.Millisecond)
+	group.detectors[2] = New(DefaultConfig()) // started anew
+	delete(group.verdicts, 2)
+	group.repeat(2, 9)
+	group.advance(100 * time.Millisecond)
+	assert.Equal(t, len(group.verdicts), 5)
+}
+
+// TestOneJudgeAsksAtATime: others that have the same evidence wait for its verdict.
+func TestOneJudgeAsksAtATime(t *testing.T) {
+	group := newGroup(50)
+	group.repeat(0, 1)
+	group.advance(60 * time.Millisecond)
+	group.repeat(1, 2)
+	group.advance(60 * time.Millisecond)
+	group.repeat(1, 3)
+	group.advance(time.Second)
+	assert.Equal(t, len(group.verdicts), 50)
+	assert.Assert(t, group.sent < 5*len(group.detectors)/2, "%d reports for one target to %d daemons", group.sent, len(group.detectors))
+}
+
+// TestAJudgeThatIsGoneIsReplaced: with each further report more daemons judge.
+func TestAJudgeThatIsGoneIsReplaced(t *testing.T) {
+	group := newGroup(10)
+	for judge := len(group.detectors) - DefaultConfig().FirstJudges; judge < len(group.detectors); judge++ {
+		group.directories[judge].isCutOff = true
+	}
+	for flow := range uint64(4) {
+		group.repeat(0, flow)
+		group.repeat(1, 10+flow)
+		group.advance(200 * time.Millisecond)
+	}
+	assert.Assert(t, len(group.verdicts) >= 8, "%v", group.verdicts)
+}
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -34,6 +34,8 @@
 	Broadcasts [][]byte `cbor:"7,keyasint,omitempty"`
 	// Near is the application's message to members of the sender's zone, opaque here.
 	Near []byte `cbor:"8,keyasint,omitempty"`
+	// Direct is the application's message to this member alone, opaque here.
+	Direct []byte `cbor:"9,keyasint,omitempty"`
 }
 
 func (m *message) encode() []byte {
@@ -50,6 +52,12 @@
 	Bytes []byte
 }
 
+// DirectMessage is the application's, from one member.
+type DirectMessage struct {
+	From    identity.Identity
+	Payload []byte
+}
+
 // RemoteDigest is the application's digest of another member.
 type RemoteDigest struct {
 	From   identity.Identity
@@ -66,6 +74,8 @@
 	Broadcasts [][]byte
 	// Near are the application's messages from members of this zone, received.
 	Near [][]byte
+	// Direct are the application's messages to this member alone, received.
+	Direct []DirectMessage
 	// Joined names a member through which the whole list can be fetched.
 	Joined []identity.Identity
 }
--- a/internal/simulation/flows_targets.go
+++ b/internal/simulation/flows_targets.go
@@ -18,6 +18,8 @@
 	Alive      bool
 	// Mute has the target take flows and leave their requests unanswered.
 	Mute bool
+	// Hangs has the target acknowledge requests and never answer them.
+	Hangs bool
 	// LeavingAt is when the store took its word that it leaves, or its removal;
 	// zero while it stays.
 	LeavingAt time.Time
@@ -25,6 +27,9 @@
 	flows map[*Flow]bool
 }
 
+// answersCallers reports whether the target takes in what its callers send.
+func (t *FlowTarget) answersCallers() bool { return t.Alive && !t.Mute }
+
 // AddTarget starts a target at an address and has the store say so.
 func (m *FlowModel) AddTarget(service, zone string, address netip.AddrPort) *FlowTarget {
 	m.number++
--- /dev/null
+++ b/internal/simulation/lives_test.go
@@ -0,0 +1,138 @@
+package simulation
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/passtray/passtray/internal/liveness"
+)
+
+// playFor begins flows for a while.
+func (r *flowRun) playFor(seconds int) {
+	for range seconds * flowsPerSec {
+		r.begin()
+		r.Clock.Advance(time.Second / flowsPerSec)
+	}
+}
+
+// disturbLives makes one random trouble that looks like death to some daemons.
+func (r *flowRun) disturbLives() {
+	daemon, span := r.random.IntN(flowDaemons), time.Second+time.Duration(r.random.Int64N(int64(3*time.Second)))
+	target := r.present["roster"][r.random.IntN(len(r.present["roster"]))]
+	switch r.random.IntN(7) {
+	case 0:
+		lossy := r.random.IntN(flowDaemons)
+		r.LossAt = func(daemon int) float64 {
+			return []float64{0, 0.3}[boolean(daemon == lossy || daemon == (lossy+1)%flowDaemons)]
+		}
+		r.Clock.After(span, func() { r.LossAt = nil })
+	case 1:
+		r.CutFrom = func(from int, to *FlowTarget) bool { return from == daemon && to == target }
+		r.Clock.After(span, func() { r.CutFrom = nil })
+	case 2:
+		r.CutFrom = func(from int, _ *FlowTarget) bool { return from == daemon || from == (daemon+1)%flowDaemons }
+		r.Clock.After(span, func() { r.CutFrom = nil })
+	case 3:
+		r.Pause(daemon, span)
+	case 4:
+		target.Hangs = true
+		r.Clock.After(span, func() { target.Hangs = false })
+	case 5:
+		r.AnswerAfter = span / 2
+		r.Clock.After(span, func() { r.AnswerAfter = 0 })
+	case 6:
+		r.restart(daemon, span/3)
+	}
+}
+
+func boolean(value bool) int {
+	if value {
+		return 1
+	}
+	return 0
+}
+
+// resetsOfTheLiving plays a schedule without a dead target, and returns the flows that were
+// reset.
+func resetsOfTheLiving(seed uint64, config liveness.Config, nobodyObjects bool) []string {
+	run := startFlowRun(seed)
+	run.Liveness, run.NobodyObjects = config, nobodyObjects
+	for index := range run.paths {
+		*run.paths[index] = dataPath{generation: -1}
+	}
+	for range 15 {
+		run.disturbLives()
+		run.playFor(2)
+	}
+	return run.Violations
+}
+
+// TestNoFlowOfALivingTargetIsReset plays seeded schedules of what looks like death: lost
+// packets, targets cut off from some daemons, daemons that stand still or restart, targets
+// that hang or are slow.
+func TestNoFlowOfALivingTargetIsReset(t *testing.T) {
+	forEachSeed(t, func(t *testing.T, seed uint64) {
+		violations := resetsOfTheLiving(seed, liveness.DefaultConfig(), false)
+		assert.Equal(t, len(violations), 0, "seed %d: %v", seed, violations)
+	})
+}
+
+// TestOneDaemonsWordResetsLivingFlows: the check finds a detector that takes one daemon's
+// word, and neither probes nor waits for objections.
+func TestOneDaemonsWordResetsLivingFlows(t *testing.T) {
+	hasty := liveness.DefaultConfig()
+	hasty.Reporters, hasty.Flows, hasty.Sends = 1, 1, 1
+	hasty.ObjectFor, hasty.LeastSilence, hasty.SignsMissed = 0, 0, 0
+	found := 0
+	for seed := range uint64(5) {
+		found += len(resetsOfTheLiving(seed, hasty, true))
+	}
+	assert.Assert(t, found > 0)
+}
+
+// waitsOfTheDead lets a third of the targets crash at once, and returns how long callers of
+// open flows to them waited until they were told; those that were not waited until the end
+// of the run.
+func waitsOfTheDead(seed uint64, told ToldWhen) []time.Duration {
+	run := startFlowRun(seed)
+	run.Told = told
+	for range 10 * flowsPerSec {
+		run.begin()
+		run.Clock.Advance(time.Second / flowsPerSec)
+	}
+	run.Waits = nil
+	crashed := map[*FlowTarget]bool{}
+	for _, target := range run.present["roster"][:3] {
+		run.CrashTarget(target)
+		crashed[target] = true
+	}
+	run.playFor(3)
+	waits := run.Waits
+	for _, flow := range run.flows {
+		if flow.Opened && !flow.Ended && crashed[flow.Target] {
+			waits = append(waits, run.Clock.Now().Sub(flow.askedAt))
+		}
+	}
+	return waits
+}
+
+// TestCallersOfDeadTargetsAreToldSoon compares three ways.
+func TestCallersOfDeadTargetsAreToldSoon(t *testing.T) {
+	median := map[ToldWhen]time.Duration{}
+	for _, told := range []ToldWhen{ToldAtVerdict, ToldAtPacket, ToldNever} {
+		var waits []time.Duration
+		for seed := range uint64(5) {
+			waits = append(waits, waitsOfTheDead(seed, told)...)
+		}
+		slices.Sort(waits)
+		assert.Assert(t, len(waits) > 50)
+		median[told] = waits[len(waits)/2]
+		t.Logf("way %d: %d callers, half told within %s, nine tenths within %s", told, len(waits), median[told], waits[len(waits)*9/10])
+	}
+	assert.Assert(t, median[ToldAtVerdict] <= median[ToldAtPacket])
+	assert.Assert(t, median[ToldAtVerdict] < 1200*time.Millisecond)
+	assert.Assert(t, median[ToldNever] > 2*time.Second)
+}
--- /dev/null
+++ b/internal/steering/token/dead_test.go
@@ -0,0 +1,148 @@
+package token
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/passtray/passtray/internal/followed"
+)
+
+func TestAFlowOfADeadTargetIsRefused(t *testing.T) {
+	site := newSite(t)
+	opened := site.open(rosterAddress, 1)
+	target := opened.Target
+	site.table.SetDead(target.Identifier, site.now.Add(time.Second), site.now.Add(2*time.Second))
+	refused := site.follow(rosterAddress, 1, target.Token)
+	assert.Equal(t, refused.Action, Refuse)
+	assert.Equal(t, refused.Reason, ReasonDeadTarget)
+	for number := range 200 {
+		assert.Assert(t, site.open(rosterAddress, 10+number).Target != target, "no new flow goes there")
+	}
+	assert.Assert(t, site.open(rosterAddress, 1).Target != target, "nor a copy of an opening packet")
+
+	site.now = site.now.Add(time.Second)
+	assert.Equal(t, site.follow(rosterAddress, 1, target.Token).Action, Forward, "the verdict ran out")
+}
+
+func TestAVerdictIsTakenBack(t *testing.T) {
+	site := newSite(t)
+	opened := site.open(rosterAddress, 1)
+	site.table.SetDead(opened.Target.Identifier, site.now.Add(time.Hour), site.now.Add(time.Hour))
+	site.table.SetDead(opened.Target.Identifier, time.Unix(0, 0), time.Unix(0, 0))
+	assert.Equal(t, site.follow(rosterAddress, 1, opened.Target.Token).Action, Forward)
+}
+
+// TestACallersOwnResetIsNotAnswered: its flow is over.
+func TestACallersOwnResetIsNotAnswered(t *testing.T) {
+	site := newSite(t)
+	opened := site.open(rosterAddress, 1)
+	site.table.SetDead(opened.Target.Identifier, site.now.Add(time.Hour), site.now.Add(time.Hour))
+	packet := &Packet{Source: caller(1), Destination: rosterAddress, Token: opened.Target.Token, IsReset: true}
+	assert.Equal(t, site.table.Follow(site.now, packet).Action, Drop)
+}
+
+// TestWhoeverRunsAtATargetsAddressHasSupersededIt, whether its entry is there still or not.
+func TestWhoeverRunsAtATargetsAddressHasSupersededIt(t *testing.T) {
+	for name, leave := range map[string]func(site *site){
+		"both are in the store":     func(*site) {},
+		"the earlier one's is gone": func(site *site) { site.remove("roster-0") },
+		"the later one drains":      func(site *site) { site.target("new", 300, "ledger", drainingAtFirst) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			site := newSite(t)
+			site.target("new", 300, "ledger", atFirst)
+			leave(site)
+			refused := site.follow(rosterAddress, 1, Of(100))
+			assert.Equal(t, refused.Action, Refuse)
+			assert.Equal(t, refused.Reason, ReasonDeadTarget)
+			assert.Equal(t, site.follow(ledgerAddress, 1, Of(300)).Action, Forward)
+			for number := range 100 {
+				assert.Assert(t, site.open(rosterAddress, number).Target.Identifier != 100)
+			}
+		})
+	}
+}
+
+// atFirst puts a target at the address of roster-0.
+func atFirst(target *followed.Target) {
+	target.Address = netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), 100)
+}
+
+func drainingAtFirst(target *followed.Target) {
+	atFirst(target)
+	target.Draining = true
+}
+
+func TestAGoneTargetAloneAtItsAddressServesOn(t *testing.T) {
+	site := newSite(t)
+	site.remove("roster-0")
+	assert.Equal(t, site.follow(rosterAddress, 1, Of(100)).Action, Forward)
+}
+
+func TestDataSentAgainIsUnacknowledged(t *testing.T) {
+	flow := newExchange(t)
+	flow.send(1, 500, 100)
+	sentAt := flow.now
+	flow.now = flow.now.Add(repeatedAfter - time.Millisecond)
+	flow.send(1, 500, 100)
+	assert.Equal(t, len(flow.requests.TakeUnacknowledged()), 0, "the network's copy")
+	first := flow.now
+	flow.now = flow.now.Add(200 * time.Millisecond)
+	flow.send(1, 500, 100)
+	unacknowledged := flow.requests.TakeUnacknowledged()
+	assert.Equal(t, len(unacknowledged), 1)
+	assert.Equal(t, unacknowledged[0].Target, uint64(100))
+	assert.Assert(t, unacknowledged[0].Since.Equal(first) && first.After(sentAt))
+	assert.Equal(t, len(flow.requests.TakeUnacknowledged()), 0, "taken once")
+}
+
+func TestSignsOfLife(t *testing.T) {
+	lifeOf := func(flow *exchange) time.Time { return flow.site.table.LastLife(100) }
+	t.Run("an answer is one", func(t *testing.T) {
+		flow := newExchange(t)
+		flow.send(1, 500, 100)
+		assert.Assert(t, lifeOf(flow).IsZero())
+		flow.now = flow.now.Add(20 * time.Millisecond)
+		flow.send(101, 900, 0)
+		assert.Assert(t, lifeOf(flow).Equal(flow.now))
+	})
+	t.Run("an opening packet's answer is one", func(t *testing.T) {
+		site := newSite(t)
+		opened := site.open(rosterAddress, 1)
+		site.now = site.now.Add(5 * time.Millisecond)
+		site.follow(rosterAddress, 1, opened.Target.Token)
+		assert.Assert(t, site.table.LastLife(opened.Target.Identifier).Equal(site.now))
+	})
+	t.Run("new data a while after the first is one", func(t *testing.T) {
+		flow := newExchange(t)
+		flow.send(1, 500, 1200)
+		flow.send(1201, 500, 1200)
+		assert.Assert(t, lifeOf(flow).IsZero(), "a window of data goes at once")
+		flow.now = flow.now.Add(repeatedAfter)
+		flow.send(2401, 500, 1200)
+		assert.Assert(t, lifeOf(flow).Equal(flow.now))
+	})
+	t.Run("data that comes again is none", func(t *testing.T) {
+		flow := newExchange(t)
+		flow.send(1, 500, 100)
+		flow.now = flow.now.Add(time.Second)
+		flow.send(1, 500, 100)
+		assert.Assert(t, lifeOf(flow).IsZero())
+	})
+}
+
+func TestWhoWaitsForATargetIsTakenOnce(t *testing.T) {
+	flow := newExchange(t)
+	flow.send(1, 500, 100)
+	assert.Equal(t, len(flow.requests.TakeWaiting(999)), 0)
+	waiting := flow.requests.TakeWaiting(100)
+	assert.Equal(t, len(waiting), 1)
+	assert.Equal(t, waiting[0].Source, caller(0))
+	assert.Equal(t, waiting[0].Destination, rosterAddress)
+	assert.Equal(t, waiting[0].Acknowledgement, uint32(500))
+	assert.Equal(t, len(flow.requests.TakeWaiting(100)), 0)
+	assert.Equal(t, flow.requests.Len(), 0)
+}
--- a/internal/steering/token/limit_test.go
+++ b/internal/steering/token/limit_test.go
@@ -56,7 +56,7 @@
 	opened := site.open(rosterAddress, 1)
 	assert.Equal(t, opened.Action, Forward)
 	data := &Packet{Source: caller(1), Destination: rosterAddress, Token: opened.Target.Token, PayloadLength: 100, Acknowledgement: 1}
-	followed := site.table.Follow(data)
+	followed := site.table.Follow(site.now, data)
 	site.opener.NoteAnswered(site.now, &followed, data)
 	requests.Note(site.now, &followed, data)
 	site.now = site.now.Add(time.Second)
