--- a/internal/liveness/config.go
+++ b/internal/liveness/config.go
@@ -41,8 +41,8 @@
 		Sends:     3,
 
 		LeastSilence: 400 * time.Millisecond,
-		MostSilence:  1500 * time.Millisecond,
-		SignsMissed:  8,
+		MostSilence:  700 * time.Millisecond,
+		SignsMissed:  3,
 		ObjectFor:    150 * time.Millisecond,
 		Window:       3 * time.Second,
 		HoldFor:      3 * time.Second,
