Cold targets: the fleet keeps a bound on their new flows together

Cause: a deployment may say how many flows a second a target bears while it is slow from its start, and no daemon sees what the others send to it.

Ways, in a model of 20 cold targets, a bound of 20, uneven callers, a tenth of the daemons lacking a fifth of the members (8, 100, 350, 1,400 daemons): an even part for each daemon breaks the bound in 0, 200, 200, 200 of 200 target seconds; one holder chosen by the target breaks none and uses 34, 40, 48, 41 % of it; few holders with two flows a second each or more break none and use 28, 50, 51, 51 %.

Change: the third (internal/coldshare), with rendezvous hashing in a package of its own that the judges of dead targets use, too. Half of the bound is given out, so that two sides of a partition keep it. A daemon that does not know the others yet, or hears none of them any more, has no part. 0 stays no bound.

Flows that are open already are not bounded: the rule counts opening packets.

--- a/internal/followed/liveness.go
+++ b/internal/followed/liveness.go
@@ -1,17 +1,15 @@
 package followed
 
 import (
-	"cmp"
-	"encoding/binary"
 	"net/netip"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/passtray/passtray/internal/liveness"
 	"github.com/passtray/passtray/internal/membership"
+	"github.com/passtray/passtray/internal/rendezvous"
 )
 
 // mostReportsAtOnce bounds the reports of one datagram, some 20 bytes each.
@@ -60,28 +58,11 @@
 		all = append(all, member.Identity.Address)
 	}
 	if report.Judges > 0 {
-		return judgesOf(report.Target, all, report.Judges)
+		return rendezvous.First(report.Target, all, report.Judges)
 	}
 	return all
 }
 
-// judgesOf returns the first daemons for a target by rendezvous hashing: all daemons
-// choose the same ones, as far as they agree on who lives (Thaler, Ravishankar, "Using
-// Name-Based Mappings to Increase Hit Rates", 1998).
-func judgesOf(target uint64, daemons []netip.AddrPort, count int) []netip.AddrPort {
-	slices.SortFunc(daemons, func(a, b netip.AddrPort) int { return cmp.Compare(judgeRank(target, b), judgeRank(target, a)) })
-	return daemons[:min(count, len(daemons))]
-}
-
-func judgeRank(target uint64, daemon netip.AddrPort) uint64 {
-	var key [26]byte
-	binary.BigEndian.PutUint64(key[:8], target)
-	address := daemon.Addr().As16()
-	copy(key[8:], address[:])
-	binary.BigEndian.PutUint16(key[24:], daemon.Port())
-	return xxhash.Sum64(key[:])
-}
-
 // takeLiveness takes in reports on targets' lives. One that may be old says nothing: its age
 // counts from when it was sent.
 func (f *Fleet) takeLiveness(now time.Time, messages []membership.DirectMessage, into *FleetOutput) {
--- /dev/null
+++ b/internal/steering/token/cold_test.go
@@ -0,0 +1,54 @@
+package token
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/passtray/passtray/internal/followed"
+)
+
+// newColdSite has a service whose targets bear a rate of flows while they are cold; half of
+// them are.
+func newColdSite(t *testing.T) *site {
+	t.Helper()
+	made := newSite(t)
+	made.put(followed.Entry{Key: "config", Configuration: &followed.Configuration{
+		Version: 100, Routes: standardRoutes(), Services: []followed.Service{{Name: "roster", ColdRate: 4}, {Name: "ledger"}},
+	}})
+	for number := range 3 {
+		made.target(fmt.Sprint("roster-", number), uint64(100+number), "roster", func(target *followed.Target) { target.ColdFor = 5 * time.Second })
+	}
+	return made
+}
+
+func TestColdTargetsGetTheirShareAndWarmOnesTheRest(t *testing.T) {
+	site := newColdSite(t)
+	asked := map[uint64]float64{}
+	site.table.SetColdShares(site.now, func(identifier uint64, rate float64) int {
+		asked[identifier] = rate
+		return 2
+	})
+	assert.DeepEqual(t, asked, map[uint64]float64{100: 4, 101: 4, 102: 4})
+	counts := map[uint64]int{}
+	for number := range 100 {
+		decision := site.open(rosterAddress, number)
+		assert.Equal(t, decision.Action, Forward)
+		counts[decision.Target.Identifier]++
+	}
+	for identifier := range asked {
+		assert.Assert(t, counts[identifier] <= 2, "%d got %d flows at once", identifier, counts[identifier])
+	}
+	site.now = site.now.Add(5 * time.Second)
+	site.table.SetColdShares(site.now, func(uint64, float64) int {
+		t.Error("a warm target has no share")
+		return 0
+	})
+	clear(counts)
+	for number := range 100 {
+		counts[site.open(rosterAddress, 1000+number).Target.Identifier]++
+	}
+	assert.Assert(t, counts[100]+counts[101]+counts[102] > 30, "%v", counts)
+}
