Steering by token: files by job; words

Pure moves: decide.go held what to do with a packet, the opener and its choice; table.go the table and what builds it; requests.go what callers send again, too; the packets that wait have a file of their own. Comments that spoke of beliefs and of somebody's word say view, state, statement, confirmed. A comment on a scale run that is gone, and a key of the platform's spelling in a benchmark, are mended.

--- a/internal/control/formation.go
+++ b/internal/control/formation.go
@@ -52,7 +52,7 @@
 	c.foundIfGranted(now)
 }
 
-// mayGrant reports whether a founder may have this daemon's word. A grant to a
+// mayGrant reports whether a founder may have this daemon's grant. A grant to a
 // daemon that has died since is void: it can have founded nothing that a live
 // daemon would not know of by now.
 func (c *Core) mayGrant(now time.Time, founder identity.Identity) bool {
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -87,7 +87,7 @@
 
 // HoldsLease reports whether the configuration in force here was confirmed
 // within the lease. It is a question about now: after a pause it says no before
-// anything is done on the old belief.
+// anything is done on the old state.
 func (c *Core) HoldsLease(now time.Time) bool {
 	return !c.lease.renewed.IsZero() && now.Sub(c.lease.renewed) < c.config.LeaseDuration
 }
--- a/internal/control/message.go
+++ b/internal/control/message.go
@@ -1,6 +1,6 @@
 // Package control makes many daemons act as one: it joins membership, consensus
 // and dissemination into one core without I/O. A daemon drives it with sockets,
-// the simulator with virtual time, and a scale run hollow, many to a process.
+// the simulator with virtual time.
 package control
 
 import (
@@ -101,7 +101,7 @@
 	Token uint64 `cbor:"1,keyasint"`
 }
 
-// StatusReport is one daemon's word on itself.
+// StatusReport is one daemon's state as it reports it.
 type StatusReport struct {
 	Token    uint64                `cbor:"1,keyasint"`
 	Identity identity.Identity     `cbor:"2,keyasint"`
--- a/internal/encapsulation/header.go
+++ b/internal/encapsulation/header.go
@@ -78,7 +78,7 @@
 	Draining bool
 	// Ingress is the daemon that must return replies, if valid.
 	Ingress netip.AddrPort
-	// Report is the target's word (KindFromTarget).
+	// Report is the target's state as it reports it (KindFromTarget).
 	Report Report
 	// Names is "service/target" on first flights to a target. It aliases the
 	// datagram.
--- a/internal/followed/claim.go
+++ b/internal/followed/claim.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// claim is a daemon's word that it reads the store for all. It is renewed by
+// claim is a daemon's statement that it reads the store for all. It is renewed by
 // nothing but that daemon's own confirmations, so that daemons that only repeat to
 // each other what they once heard do not count as supply: a claim that nobody renews
 // runs out (a lease: Gray, Cheriton, "Leases", 1989).
--- a/internal/followed/lapse.go
+++ b/internal/followed/lapse.go
@@ -9,7 +9,7 @@
 	returnedAt  time.Time
 }
 
-// note takes in when the store last confirmed what is believed. A gap of at least
+// note takes in when the store last confirmed the view. A gap of at least
 // away means that it was not to be had; before the first word it may have been.
 func (w *returnWatch) note(now, confirmedAt time.Time, away time.Duration) {
 	if !confirmedAt.After(w.confirmedAt) {
--- a/internal/followed/side.go
+++ b/internal/followed/side.go
@@ -3,7 +3,7 @@
 import "time"
 
 // sideWatch reads on about targets alone while a long answer keeps the follower's own
-// watch busy: a leaving target's word must not wait behind documents. What it brings is
+// watch busy: a leaving target's state must not wait behind documents. What it brings is
 // merged; up to where everything is known only the follower's own calls can tell.
 type sideWatch struct {
 	call      *Call
--- a/internal/node/data.go
+++ b/internal/node/data.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// probeTargets asks targets for their reports, so that a quiet one's word is
+// probeTargets asks targets for their reports, so that the state of a quiet one is
 // known too. Each target is watched by few daemons, the first by rendezvous.
 func (n *Node) probeTargets(now time.Time) {
 	if now.Before(n.nextProbe) || n.draining.Load() {
--- a/internal/node/memory_bench_test.go
+++ b/internal/node/memory_bench_test.go
@@ -41,7 +41,7 @@
 	for index := range s.targets {
 		identifier := uint64(index)<<32 | rand.Uint64()>>32 | 1
 		entries = append(entries, followed.Entry{
-			Key: fmt.Sprintf("servers/i-%010x", identifier), Revision: uint64(index + 2),
+			Key: fmt.Sprintf("target-%010x", identifier), Revision: uint64(index + 2),
 			Target: &followed.Target{Identifier: identifier, Service: "service-a", Address: addressOf(100, index), Zone: "zone-a", Slots: 2},
 		})
 	}
--- a/internal/simulation/flows_targets.go
+++ b/internal/simulation/flows_targets.go
@@ -81,7 +81,7 @@
 	})
 }
 
-// CrashTarget ends a target without a word; its entry goes later.
+// CrashTarget crashes a target; its entry goes later.
 func (m *FlowModel) CrashTarget(target *FlowTarget) {
 	m.end(target)
 	m.Clock.After(3600*time.Millisecond, func() {
--- /dev/null
+++ b/internal/steering/token/builder.go
@@ -0,0 +1,151 @@
+package token
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/passtray/passtray/internal/balance"
+	"github.com/passtray/passtray/internal/followed"
+)
+
+// Builder makes tables and keeps what must outlive one: signals of targets,
+// numbers of routes, and the services and routes that were.
+type Builder struct {
+	signals map[uint64]*balance.Signal
+	routes  routeBuilder
+}
+
+// NewBuilder makes a builder that remembers for retention what went.
+func NewBuilder(retention time.Duration) *Builder {
+	return &Builder{
+		signals: map[uint64]*balance.Signal{},
+		routes:  newRouteBuilder(retention),
+	}
+}
+
+// Build makes the table of a view. It returns nil without a configuration.
+func (b *Builder) Build(now time.Time, view *followed.View) *Table {
+	configuration := view.Configuration()
+	if configuration == nil {
+		return nil
+	}
+	table := &Table{
+		Version:  configuration.Version,
+		targets:  map[uint32]*Target{},
+		services: b.services(configuration),
+	}
+	table.routes, table.dropped = b.routes.build(now, configuration)
+	b.addTargets(table, view)
+	return table
+}
+
+func (b *Builder) services(configuration *followed.Configuration) map[string]*Service {
+	services := make(map[string]*Service, len(configuration.Services))
+	for _, declared := range configuration.Services {
+		services[declared.Name] = &Service{Name: declared.Name}
+	}
+	return services
+}
+
+// evacuatedZones returns the zones whose targets get no new flows.
+func evacuatedZones(view *followed.View) map[string]bool {
+	zones := map[string]bool{}
+	for _, order := range view.Orders() {
+		if order.Kind == followed.OrderEvacuate {
+			zones[order.Zone] = true
+		}
+	}
+	return zones
+}
+
+// supersededTargets returns those at whose address a later target runs. Of two in the
+// store the one written earlier has ended, as it cannot have been written since; one that
+// went has ended before one that is there.
+func supersededTargets(known []*followed.KnownTarget) map[*followed.KnownTarget]bool {
+	superseded := map[*followed.KnownTarget]bool{}
+	present := make(map[netip.AddrPort]*followed.KnownTarget, len(known))
+	for _, target := range known {
+		if target.Gone {
+			continue
+		}
+		other := present[target.Address]
+		switch {
+		case other == nil:
+		case other.Revision > target.Revision:
+			superseded[target] = true
+			continue
+		default:
+			superseded[other] = true
+		}
+		present[target.Address] = target
+	}
+	for _, target := range known {
+		if target.Gone && present[target.Address] != nil {
+			superseded[target] = true
+		}
+	}
+	return superseded
+}
+
+func (b *Builder) addTargets(table *Table, view *followed.View) {
+	configuration, known, evacuated := view.Configuration(), view.Targets(), evacuatedZones(view)
+	declared := make(map[string]*followed.Service, len(configuration.Services))
+	for index := range configuration.Services {
+		service := &configuration.Services[index]
+		declared[service.Name] = service
+		table.isColdBounded = table.isColdBounded || service.ColdRate > 0
+	}
+	superseded := supersededTargets(known)
+	held := make(map[uint64]*balance.Signal, len(known))
+	for _, described := range known {
+		signal := b.signals[described.Identifier]
+		if signal == nil {
+			signal = &balance.Signal{}
+		}
+		held[described.Identifier] = signal
+		target := &Target{
+			Identifier: described.Identifier, Token: Of(described.Identifier), Service: described.Service,
+			Address: described.Address, Signal: signal,
+			MayOpen:     !described.Gone && !described.Draining && !evacuated[described.Zone],
+			IsEvacuated: evacuated[described.Zone],
+			IsLapsed:    described.Gone && !described.Draining, LearnedAt: described.LearnedAt,
+		}
+		target.IsSuperseded = superseded[described]
+		if !table.add(target) || target.IsSuperseded {
+			continue
+		}
+		service := table.services[described.Service]
+		if service == nil {
+			continue
+		}
+		target.WarmAt, target.ColdRate = described.WarmAt, declared[described.Service].ColdRate
+		service.add(target, balance.Candidate{
+			Signal: signal, Weight: max(1, described.Slots), Cap: declared[described.Service].MaximumFlows,
+			Zone: described.Zone, Slots: described.Slots, WarmAt: described.WarmAt, IsColdBounded: target.ColdRate > 0,
+		})
+	}
+	b.signals = held
+}
+
+// add enters a target under its token. Two targets may have one token; only the
+// first by key gets flows then, on every daemon alike.
+func (t *Table) add(target *Target) bool {
+	if t.targets[target.Token] != nil {
+		return false
+	}
+	t.targets[target.Token] = target
+	return true
+}
+
+func (s *Service) add(target *Target, candidate balance.Candidate) {
+	switch {
+	case target.MayOpen:
+		s.Targets = append(s.Targets, target)
+		s.Candidates = append(s.Candidates, candidate)
+	case target.IsEvacuated:
+		s.evacuated++
+	default:
+		s.Leaving = append(s.Leaving, target)
+		s.LeavingCandidates = append(s.LeavingCandidates, candidate)
+	}
+}
--- /dev/null
+++ b/internal/steering/token/pick.go
@@ -0,0 +1,99 @@
+package token
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/passtray/passtray/internal/balance"
+	"github.com/passtray/passtray/internal/followed"
+)
+
+// pick chooses a target, other than one that was silent: the service by the
+// route's weights, then the target by what is known of its load.
+//
+// A service whose targets have enough to do turns nobody over to the others.
+func (o *Opener) pick(now time.Time, table *Table, route *Route, silent *Target) *Target {
+	o.atLimit = false
+	chosen := route.next(o.random)
+	if chosen == nil {
+		return nil
+	}
+	if target := o.pickOf(now, table.services[chosen.Service], silent); target != nil || o.atLimit {
+		return target
+	}
+	for index := range route.Backends {
+		backend := &route.Backends[index]
+		if backend == chosen || backend.Weight == 0 {
+			continue
+		}
+		if target := o.pickOf(now, table.services[backend.Service], silent); target != nil {
+			return target
+		}
+	}
+	return nil
+}
+
+func (o *Opener) pickOf(now time.Time, service *Service, silent *Target) *Target {
+	if service == nil {
+		return nil
+	}
+	request := balance.Request{Now: now, Zone: o.zone, LeaseHeld: true, PrefersZone: true, Daemons: o.daemons, KnowsOpen: o.knowsOpen, Scratch: &o.scratch}
+	present, presentCandidates := o.withLapsed(now, service)
+	if target := o.choose(request, present, presentCandidates, silent); target != nil || o.atLimit {
+		return target
+	}
+	o.leaving, o.leavingCandidates = o.leaving[:0], o.leavingCandidates[:0]
+	for index, target := range service.Leaving {
+		if now.Sub(target.LearnedAt) < o.leavingFor {
+			o.leaving = append(o.leaving, target)
+			o.leavingCandidates = append(o.leavingCandidates, service.LeavingCandidates[index])
+		}
+	}
+	return o.choose(request, o.leaving, o.leavingCandidates, silent)
+}
+
+func (o *Opener) choose(request balance.Request, targets []*Target, candidates []balance.Candidate, silent *Target) *Target {
+	request.Excluded = -1
+	for index, target := range targets {
+		if target == silent {
+			request.Excluded = index
+		}
+	}
+	if index := balance.Pick(&request, candidates, o.random); index >= 0 {
+		return targets[index]
+	}
+	o.atLimit = request.AtLimit()
+	return nil
+}
+
+// next chooses a backend by smooth weighted round robin: over any stretch of
+// picks each backend's count is within one of its share. Daemons start it at
+// random points, so that they do not all begin with the same backend.
+func (r *Route) next(random *rand.Rand) *followed.Backend {
+	if len(r.Backends) == 1 && r.Backends[0].Weight > 0 {
+		return &r.Backends[0]
+	}
+	var chosen *followed.Backend
+	var total, most int64
+	for index := range r.Backends {
+		backend := &r.Backends[index]
+		if backend.Weight == 0 {
+			continue
+		}
+		weight := int64(backend.Weight)
+		credit, begun := r.credits[backend.Service]
+		if !begun {
+			credit = random.Int64N(weight)
+		}
+		credit += weight
+		r.credits[backend.Service] = credit
+		total += weight
+		if chosen == nil || credit > most {
+			chosen, most = backend, credit
+		}
+	}
+	if chosen != nil {
+		r.credits[chosen.Service] -= total
+	}
+	return chosen
+}
--- /dev/null
+++ b/internal/steering/token/unacknowledged.go
@@ -0,0 +1,60 @@
+package token
+
+import (
+	"time"
+)
+
+// Unacknowledged is data that a caller sent again on an open flow: its target did not
+// acknowledge it after Since.
+type Unacknowledged struct {
+	Target uint64
+	// Flow is the flow's hash.
+	Flow  uint64
+	Since time.Time
+}
+
+// mostUnacknowledged bounds what is kept until it is taken. A target is held for dead on
+// the word of few.
+const mostUnacknowledged = 1024
+
+// noteData takes in further data of a request. New data that comes a while after the
+// first shows that its target acknowledges; data that comes again, that it did not.
+func (r *Requests) noteData(now time.Time, flow uint64, held *request, packet *Packet) {
+	sentBefore := held.lastSent
+	held.lastSent = now
+	if isAfter(packet.Sequence, held.sequence) {
+		held.sequence = packet.Sequence
+		held.lastData = now
+		if now.Sub(held.begunAt) >= repeatedAfter {
+			held.signal.NoteLife(now)
+		}
+		return
+	}
+	held.isRepeated = held.isRepeated || now.Sub(held.lastData) >= repeatedAfter
+	if now.Sub(sentBefore) >= repeatedAfter && len(r.unacknowledged) < mostUnacknowledged {
+		r.unacknowledged = append(r.unacknowledged, Unacknowledged{Target: held.target, Flow: flow, Since: sentBefore})
+	}
+}
+
+// TakeUnacknowledged returns what callers sent again since the last call.
+func (r *Requests) TakeUnacknowledged() []Unacknowledged {
+	unacknowledged := r.unacknowledged
+	r.unacknowledged = nil
+	return unacknowledged
+}
+
+// TakeWaiting ends the requests that wait for a target, and returns for each the head of
+// the packet that a reset answers.
+func (r *Requests) TakeWaiting(target uint64) []Packet {
+	var packets []Packet
+	for key, held := range r.waiting {
+		if held.target == target {
+			r.end(key)
+			packets = append(packets, Packet{Source: key.caller, Destination: held.destination, Token: held.token, Acknowledgement: held.acknowledgement})
+		}
+	}
+	return packets
+}
+
+// isAfter compares sequence numbers, which wrap (RFC 1982).
+func isAfter(one, other uint32) bool { return int32(one-other) > 0 }
