Liveness: zones are not held for dead together

Evidence on a zone says nothing of a target that nobody uses.

Ruled out: more probes: one for each target of a zone is a thousand connections at once. Resetting only what was probed itself would be right, and is left for when callers are few beside targets.

--- a/internal/liveness/detector.go
+++ b/internal/liveness/detector.go
@@ -1,6 +1,6 @@
-// Package liveness finds targets, and zones of them, that are dead: callers at several
-// daemons send again what nobody acknowledges, and no daemon sees a sign of life. A daemon
-// that suspects one tells a few judges, chosen by what is suspected; a judge with the word of several asks all
+// Package liveness finds targets that are dead: callers at several daemons send again what
+// nobody acknowledges, and no daemon sees a sign of life. A daemon that suspects a target
+// tells a few judges, chosen by the target; a judge with the word of several asks all
 // daemons, and those that have heard from the target object. It also probes the target
 // itself. If nobody hears from it in time, the judge tells all that the target is dead,
 // until anybody does.
@@ -18,12 +18,12 @@
 	"time"
 )
 
-// Verdict is the decision that a subject is dead.
+// Verdict is the decision that a target is dead.
 type Verdict struct {
-	Subject Subject
+	Target uint64
 	// Until is how long it holds.
 	Until time.Time
-	// Silence is for how long nobody has heard from it. Reporters, Flows and Sends
+	// Silence is for how long nobody has heard from the target. Reporters, Flows and Sends
 	// are what decided; they are 0 if another daemon did.
 	Silence                 time.Duration
 	Reporters, Flows, Sends int
@@ -32,40 +32,24 @@
 // Output is what one step brought forth.
 type Output struct {
 	Dead []Verdict
-	// Alive are subjects that were held for dead and are not.
-	Alive   []Revival
+	// Alive are targets that were held for dead and are not.
+	Alive   []uint64
 	Reports []Outgoing
-	// Probes are to be made: the outcome of each is to be told to Probed, whatever it is.
-	Probes []Probe
-}
-
-// Revival takes a verdict back. Of a zone only those targets that have shown life since the
-// silence that it was on.
-type Revival struct {
-	Subject     Subject
-	SilentSince time.Time
-}
-
-// Probe is a target that is to be probed for a subject.
-type Probe struct {
-	Subject Subject
-	Target  uint64
+	// Probes are targets to be probed: the outcome is to be told to Probed, whatever it
+	// is.
+	Probes []uint64
 }
 
 // Directory tells what this daemon knows of targets.
 type Directory interface {
-	// ZoneOf returns a target's zone; found is false if flows of it are not forwarded.
-	ZoneOf(target uint64) (zone string, found bool)
-	// IsKnown reports whether flows of a subject are forwarded.
-	IsKnown(subject Subject) bool
-	// LastLife is when this daemon last saw that a subject sent something, zero if it
+	// IsRoutable reports whether flows of a target are forwarded.
+	IsRoutable(target uint64) bool
+	// LastLife is when this daemon last saw that a target sent something, zero if it
 	// never did.
-	LastLife(subject Subject) time.Time
-	// ExpectedRate is how many signs of life of a subject all daemons together are
+	LastLife(target uint64) time.Time
+	// ExpectedRate is how many signs of life of a target all daemons together are
 	// expected to see in a second.
-	ExpectedRate(subject Subject) float64
-	// TargetsToProbe returns some targets, at most count, that speak for a subject.
-	TargetsToProbe(subject Subject, count int) []uint64
+	ExpectedRate(target uint64) float64
 	// LastAnswered is when this daemon forwarded the latest request that some target has
 	// answered.
 	LastAnswered() time.Time
@@ -74,14 +58,14 @@
 // Detector is one daemon's part.
 type Detector struct {
 	config   Config
-	suspects map[Subject]*suspect
+	suspects map[uint64]*suspect
 	// observed are reports on what was observed since the last tick.
 	observed Output
 }
 
 // New makes a detector.
 func New(config Config) *Detector {
-	return &Detector{config: config, suspects: map[Subject]*suspect{}}
+	return &Detector{config: config, suspects: map[uint64]*suspect{}}
 }
 
 // self is this daemon as a reporter.
@@ -90,17 +74,11 @@
 // Observe takes in that a caller of this daemon sent data again on a flow; the target had
 // not acknowledged it since a time. What is to be told of it comes with the next tick.
 func (d *Detector) Observe(now time.Time, directory Directory, target, flow uint64, since time.Time) {
-	zone, found := directory.ZoneOf(target)
-	if !found || !reachesTargets(directory, since) {
+	if !directory.IsRoutable(target) || !reachesTargets(directory, since) {
 		return
 	}
-	d.observe(now, directory, Subject{Target: target}, flow, since)
-	d.observe(now, directory, Subject{Zone: zone}, flow, since)
-}
-
-func (d *Detector) observe(now time.Time, directory Directory, subject Subject, flow uint64, since time.Time) {
-	suspected := d.suspect(subject)
-	suspected.seeLife(directory.LastLife(subject))
+	suspected := d.suspect(target)
+	suspected.seeLife(directory.LastLife(target))
 	if !suspected.lifeAt.Before(since) || suspected.isDead(now) {
 		return
 	}
@@ -115,7 +93,7 @@
 	suspected.evidence[self] = own
 	judges := min(d.config.FirstJudges<<min(suspected.told, maximumDoublings), d.config.MostJudges)
 	suspected.told++
-	report := Report{Subject: subject, Kind: Silent, Flows: own.flows, Sends: own.sends}
+	report := Report{Target: target, Kind: Silent, Flows: own.flows, Sends: own.sends}
 	d.observed.tell(Outgoing{Judges: judges, Report: report}, now.Sub(own.since))
 }
 
@@ -126,26 +104,26 @@
 }
 
 // Probed takes in whether a target that was to be probed answered.
-func (d *Detector) Probed(now time.Time, probe Probe, hasAnswered bool) {
-	suspected := d.suspects[probe.Subject]
+func (d *Detector) Probed(now time.Time, target uint64, hasAnswered bool) {
+	suspected := d.suspects[target]
 	switch {
-	case suspected == nil || !suspected.askedHere:
+	case suspected == nil:
 	case hasAnswered:
 		suspected.seeLife(now)
 	default:
-		suspected.probesLeft--
+		suspected.probeFailed = true
 	}
 }
 
 // maximumDoublings keeps the doubling of judges within its type.
 const maximumDoublings = 10
 
-// suspect returns what is held of a subject.
-func (d *Detector) suspect(subject Subject) *suspect {
-	suspected := d.suspects[subject]
+// suspect returns what is held of a target.
+func (d *Detector) suspect(target uint64) *suspect {
+	suspected := d.suspects[target]
 	if suspected == nil {
 		suspected = newSuspect()
-		d.suspects[subject] = suspected
+		d.suspects[target] = suspected
 	}
 	return suspected
 }
@@ -160,7 +138,7 @@
 func (d *Detector) Hear(now time.Time, directory Directory, reports []Received) Output {
 	var output Output
 	for index := range reports {
-		if directory.IsKnown(reports[index].Subject) {
+		if directory.IsRoutable(reports[index].Target) {
 			d.hearOne(now, directory, &reports[index], &output)
 		}
 	}
@@ -168,8 +146,8 @@
 }
 
 func (d *Detector) hearOne(now time.Time, directory Directory, report *Received, output *Output) {
-	suspected := d.suspect(report.Subject)
-	suspected.seeLife(directory.LastLife(report.Subject))
+	suspected := d.suspect(report.Target)
+	suspected.seeLife(directory.LastLife(report.Target))
 	since := now.Add(-report.Age())
 	if report.Kind != Alive && !suspected.lifeAt.Before(since) {
 		d.object(now, report, suspected, output)
@@ -178,7 +156,7 @@
 	switch report.Kind {
 	case Silent:
 		if suspected.isDead(now) {
-			verdict := Outgoing{To: report.From, Report: Report{Subject: report.Subject, Kind: Dead}}
+			verdict := Outgoing{To: report.From, Report: Report{Target: report.Target, Kind: Dead}}
 			output.tell(verdict, now.Sub(suspected.silentSince))
 			return
 		}
@@ -190,10 +168,10 @@
 		}
 	case Alive:
 		suspected.seeLife(since)
-		d.revive(now, report.Subject, suspected, output)
+		d.revive(now, report.Target, suspected, output)
 	case Dead:
 		if !suspected.isDead(now) && reachesTargets(directory, since) {
-			d.bury(now, report.Subject, suspected, Verdict{Silence: report.Age()}, output)
+			d.bury(now, report.Target, suspected, Verdict{Silence: report.Age()}, output)
 		}
 	}
 }
@@ -201,7 +179,7 @@
 // object answers with a sign of life that the sender of a report does not know of. After a
 // verdict all have to know.
 func (d *Detector) object(now time.Time, report *Received, suspected *suspect, output *Output) {
-	objection := Outgoing{Report: Report{Subject: report.Subject, Kind: Alive}}
+	objection := Outgoing{Report: Report{Target: report.Target, Kind: Alive}}
 	if report.Kind != Dead {
 		objection.To = report.From
 	}
@@ -209,16 +187,16 @@
 }
 
 // revive takes a verdict back after a sign of life.
-func (d *Detector) revive(now time.Time, subject Subject, suspected *suspect, output *Output) {
+func (d *Detector) revive(now time.Time, target uint64, suspected *suspect, output *Output) {
 	if suspected.isDead(now) && suspected.lifeAt.After(suspected.silentSince) {
 		suspected.deadUntil = time.Time{}
-		output.Alive = append(output.Alive, Revival{Subject: subject, SilentSince: suspected.silentSince})
+		output.Alive = append(output.Alive, target)
 	}
 }
 
-// bury holds a subject for dead.
-func (d *Detector) bury(now time.Time, subject Subject, suspected *suspect, verdict Verdict, output *Output) {
-	verdict.Subject = subject
+// bury holds a target for dead.
+func (d *Detector) bury(now time.Time, target uint64, suspected *suspect, verdict Verdict, output *Output) {
+	verdict.Target = target
 	verdict.Until = now.Add(d.config.HoldFor)
 	suspected.deadUntil = verdict.Until
 	suspected.silentSince = now.Add(-verdict.Silence)
@@ -231,26 +209,26 @@
 func (d *Detector) Tick(now time.Time, directory Directory) Output {
 	output := d.observed
 	d.observed = Output{}
-	for subject, suspected := range d.suspects {
+	for target, suspected := range d.suspects {
 		suspected.expire(now)
 		wasDead := suspected.isDead(now)
-		if suspected.seeLife(directory.LastLife(subject)) {
-			d.revive(now, subject, suspected, &output)
+		if suspected.seeLife(directory.LastLife(target)) {
+			d.revive(now, target, suspected, &output)
 		}
 		if wasDead && !suspected.isDead(now) {
-			output.tell(Outgoing{Report: Report{Subject: subject, Kind: Alive}}, now.Sub(suspected.lifeAt))
+			output.tell(Outgoing{Report: Report{Target: target, Kind: Alive}}, now.Sub(suspected.lifeAt))
 		}
-		d.judge(now, directory, subject, suspected, &output)
+		d.judge(now, directory, target, suspected, &output)
 		if suspected.isOver(now) {
-			delete(d.suspects, subject)
+			delete(d.suspects, target)
 		}
 	}
 	return output
 }
 
-// judge asks all about a subject against which there is enough evidence, and holds it for
+// judge asks all about a target against which there is enough evidence, and holds it for
 // dead if nobody objected in time.
-func (d *Detector) judge(now time.Time, directory Directory, subject Subject, suspected *suspect, output *Output) {
+func (d *Detector) judge(now time.Time, directory Directory, target uint64, suspected *suspect, output *Output) {
 	flows, sends, since := suspected.weigh()
 	if !d.isEnough(suspected) || suspected.isDead(now) || !reachesTargets(directory, since) {
 		return
@@ -262,26 +240,17 @@
 	if !suspected.askedHere {
 		if d.isTurn(now, suspected) {
 			suspected.askedAt, suspected.askedHere = now, true
-			output.tell(Outgoing{Report: Report{Subject: subject, Kind: Asked}}, silence)
-			d.probe(directory, subject, suspected, output)
+			output.tell(Outgoing{Report: Report{Target: target, Kind: Asked}}, silence)
+			output.Probes = append(output.Probes, target)
 		}
 		return
 	}
-	if suspected.probesLeft > 0 || now.Sub(suspected.askedAt) < d.config.ObjectFor || silence < d.silenceNeeded(directory.ExpectedRate(subject)) {
+	if !suspected.probeFailed || now.Sub(suspected.askedAt) < d.config.ObjectFor || silence < d.silenceNeeded(directory.ExpectedRate(target)) {
 		return
 	}
 	verdict := Verdict{Silence: silence, Reporters: len(suspected.evidence), Flows: flows, Sends: sends}
-	output.tell(Outgoing{Report: Report{Subject: subject, Kind: Dead}}, silence)
-	d.bury(now, subject, suspected, verdict, output)
-}
-
-// probe asks for probes of what speaks for a subject.
-func (d *Detector) probe(directory Directory, subject Subject, suspected *suspect, output *Output) {
-	targets := directory.TargetsToProbe(subject, d.config.ZoneProbes)
-	suspected.probesLeft = len(targets)
-	for _, target := range targets {
-		output.Probes = append(output.Probes, Probe{Subject: subject, Target: target})
-	}
+	output.tell(Outgoing{Report: Report{Target: target, Kind: Dead}}, silence)
+	d.bury(now, target, suspected, verdict, output)
 }
 
 // isTurn reports whether it is on this judge to ask: those that rank above it did not, or
--- a/internal/liveness/report.go
+++ b/internal/liveness/report.go
@@ -10,30 +10,22 @@
 
 // The kinds. They travel between daemons, so that their numbers stay.
 const (
-	// Silent tells judges that callers of the sender sent data again which was not
-	// acknowledged.
+	// Silent tells judges that callers of the sender sent data again which the target
+	// did not acknowledge.
 	Silent Kind = 1
-	// Asked asks all whether anybody has heard from the subject since.
+	// Asked asks all whether anybody has heard from the target since.
 	Asked Kind = 2
 	// Alive says that the sender has.
 	Alive Kind = 3
-	// Dead says that several hold the subject for silent, and nobody has.
+	// Dead says that several hold the target for silent, and nobody has.
 	Dead Kind = 4
 )
 
-// Subject is what may be dead: one target or, where Zone is set, all targets of a zone.
-// Where callers are few beside targets, no single one of a lost zone shows enough silence,
-// and all together do.
-type Subject struct {
-	// Target is the target's identifier.
-	Target uint64 `cbor:"1,keyasint,omitempty"`
-	Zone   string `cbor:"7,keyasint,omitempty"`
-}
-
-// Report is what one daemon tells another of a subject. Repeats do no harm.
+// Report is what one daemon tells another of a target. Repeats do no harm.
 type Report struct {
-	Subject
-	Kind Kind `cbor:"2,keyasint"`
+	// Target is the target's identifier.
+	Target uint64 `cbor:"1,keyasint"`
+	Kind   Kind   `cbor:"2,keyasint"`
 	// AgeMilliseconds is how long before the report the silence began or, for Alive, the
 	// last sign of life was seen.
 	AgeMilliseconds uint32 `cbor:"3,keyasint"`
@@ -48,7 +40,7 @@
 // Age is how long before the report what it tells of was.
 func (r *Report) Age() time.Duration { return time.Duration(r.AgeMilliseconds) * time.Millisecond }
 
-// Outgoing is a report with whom it is for: one daemon, the first Judges of a subject, or,
+// Outgoing is a report with whom it is for: one daemon, the first Judges of a target, or,
 // with neither, all.
 type Outgoing struct {
 	Report
--- a/internal/liveness/suspect.go
+++ b/internal/liveness/suspect.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// suspect is what is known of a subject that somebody holds for silent.
+// suspect is what is known of one target that somebody holds for silent.
 type suspect struct {
 	// evidence is by reporter; the zero address is this daemon.
 	evidence map[netip.AddrPort]evidence
@@ -18,8 +18,8 @@
 	// askedHere says that it was this one.
 	askedAt   time.Time
 	askedHere bool
-	// probesLeft is how many probes were not answered yet; 0 if there are none to be made.
-	probesLeft int
+	// probeFailed says that the target left a probe unanswered since.
+	probeFailed bool
 	// rank is this daemon's among the judges, enoughAt since when the evidence is enough.
 	rank     int
 	enoughAt time.Time
@@ -70,7 +70,7 @@
 
 func (s *suspect) forgetQuestion() {
 	s.askedAt, s.enoughAt = time.Time{}, time.Time{}
-	s.askedHere, s.probesLeft = false, 0
+	s.askedHere, s.probeFailed = false, false
 }
 
 // weigh sums the evidence. since is when the silence began that all of it is of.
--- a/internal/node/followed_liveness.go
+++ b/internal/node/followed_liveness.go
@@ -27,12 +27,8 @@
 type livenessDirectory struct{ *directory }
 
 // ExpectedRate takes each answer for a sign of life.
-func (d livenessDirectory) ExpectedRate(subject liveness.Subject) float64 {
-	rate := 0.0
-	for service, targets := range d.ServicesOf(subject) {
-		rate += float64(targets) * d.directory.ExpectedRate(service)
-	}
-	return rate
+func (d livenessDirectory) ExpectedRate(target uint64) float64 {
+	return d.directory.ExpectedRate(d.ServiceBehind(target))
 }
 
 // LastAnswered serves liveness.Directory.
@@ -48,58 +44,50 @@
 	for _, data := range n.plane.unacknowledged() {
 		n.lives.Observe(now, targets, data.Target, data.Flow, data.Since)
 	}
-	n.carryLives(now, table, n.lives.Tick(now, targets))
+	n.carryLives(table, n.lives.Tick(now, targets))
 }
 
 // hearLives takes in what other daemons say of targets' lives.
 func (n *Followed) hearLives(now time.Time, reports []liveness.Received) {
 	if table := n.plane.table.Load(); table != nil && len(reports) > 0 {
-		n.carryLives(now, table, n.lives.Hear(now, n.livenessDirectory(now, table), reports))
+		n.carryLives(table, n.lives.Hear(now, n.livenessDirectory(now, table), reports))
 	}
 }
 
-// carryLives puts verdicts into force: flows of dead targets are reset at once, those
+// carryLives puts verdicts into force: flows of a dead target are reset at once, those
 // that wait now and others with their next packet.
-func (n *Followed) carryLives(now time.Time, table *token.Table, output liveness.Output) {
+func (n *Followed) carryLives(table *token.Table, output liveness.Output) {
 	for _, verdict := range output.Dead {
-		table.SetDead(verdict.Subject, verdict.Until, verdict.Until.Add(deadProbation))
-		reset := n.plane.resetWaiting(func(target uint64) bool { return table.IsDead(now, target) })
+		table.SetDead(verdict.Target, verdict.Until, verdict.Until.Add(deadProbation))
+		reset := n.plane.resetWaiting(verdict.Target)
 		n.counters().dead.Add(1)
 		n.log.Info(messageDead,
-			telemetry.FieldTarget, subjectName(verdict.Subject),
+			telemetry.FieldTarget, strconv.FormatUint(verdict.Target, 16),
 			telemetry.FieldSpan, verdict.Silence.String(),
 			telemetry.FieldReporters, verdict.Reporters,
 			telemetry.FieldEvidence, verdict.Sends,
 			telemetry.FieldCount, reset,
 		)
 	}
-	for _, revival := range output.Alive {
-		table.SetAlive(revival.Subject, revival.SilentSince)
+	for _, target := range output.Alive {
+		table.SetDead(target, time.Unix(0, 0), time.Unix(0, 0))
 		n.counters().revived.Add(1)
-		n.log.Info(messageAlive, telemetry.FieldTarget, subjectName(revival.Subject))
+		n.log.Info(messageAlive, telemetry.FieldTarget, strconv.FormatUint(target, 16))
 	}
 	n.link.send(n.fleet.TellLiveness(output.Reports))
-	for _, probe := range output.Probes {
-		if address, found := table.AddressOf(probe.Target); found {
+	for _, target := range output.Probes {
+		if address, found := table.AddressOf(target); found {
 			n.waiting.Add(1)
-			go n.probe(probe, address)
+			go n.probe(target, address)
 		}
 	}
 }
 
-// subjectName is a target's identifier in hexadecimal digits, or a zone.
-func subjectName(subject liveness.Subject) string {
-	if subject.Zone != "" {
-		return "zone " + subject.Zone
-	}
-	return strconv.FormatUint(subject.Target, 16)
-}
-
 // probe asks whether a target accepts connections. It sends nothing on them.
-func (n *Followed) probe(probe liveness.Probe, address netip.AddrPort) {
+func (n *Followed) probe(target uint64, address netip.AddrPort) {
 	defer n.waiting.Done()
 	hasAnswered := n.reaches(address)
-	n.enqueue(func(now time.Time) { n.lives.Probed(now, probe, hasAnswered) })
+	n.enqueue(func(now time.Time) { n.lives.Probed(now, target, hasAnswered) })
 }
 
 func (n *Followed) reaches(address netip.AddrPort) bool {
