--- a/internal/liveness/detector.go
+++ b/internal/liveness/detector.go
@@ -14,7 +14,9 @@
 package liveness
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -209,7 +211,8 @@
 func (d *Detector) Tick(now time.Time, directory Directory) Output {
 	output := d.observed
 	d.observed = Output{}
-	for target, suspected := range d.suspects {
+	for _, target := range slices.Sorted(maps.Keys(d.suspects)) { // in a fixed order, for seeded runs
+		suspected := d.suspects[target]
 		suspected.expire(now)
 		wasDead := suspected.isDead(now)
 		if suspected.seeLife(directory.LastLife(target)) {
--- a/internal/steering/token/unacknowledged.go
+++ b/internal/steering/token/unacknowledged.go
@@ -1,6 +1,8 @@
 package token
 
 import (
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -53,6 +55,9 @@
 			packets = append(packets, Packet{Source: key.caller, Destination: held.destination, Token: held.token, Acknowledgement: held.acknowledgement})
 		}
 	}
+	slices.SortFunc(packets, func(a, b Packet) int { // in a fixed order, for seeded runs
+		return cmp.Or(a.Source.Compare(b.Source), a.Destination.Compare(b.Destination))
+	})
 	return packets
 }
 
