Liveness: in a silent zone one daemon judges alone of a target that it probed

Change: a zone none of whose targets is heard from is held for silent by the same way as a target for dead (judges, objections, four probes). That buries nothing; it lets a daemon judge alone of a target that a caller of its own sent again to, after a probe of that very target failed. A living one acknowledges, and accepts connections.

--- a/internal/followed/liveness.go
+++ b/internal/followed/liveness.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/passtray/passtray/internal/liveness"
@@ -58,11 +59,19 @@
 		all = append(all, member.Identity.Address)
 	}
 	if report.Judges > 0 {
-		return rendezvous.First(report.Target, all, report.Judges)
+		return rendezvous.First(subjectKey(report.Subject), all, report.Judges)
 	}
 	return all
 }
 
+// subjectKey is a subject's for rendezvous hashing.
+func subjectKey(subject liveness.Subject) uint64 {
+	if subject.Zone != "" {
+		return xxhash.Sum64String(subject.Zone)
+	}
+	return subject.Target
+}
+
 // takeLiveness takes in reports on targets' lives. One that may be old says nothing: its age
 // counts from when it was sent.
 func (f *Fleet) takeLiveness(now time.Time, messages []membership.DirectMessage, into *FleetOutput) {
--- a/internal/liveness/config.go
+++ b/internal/liveness/config.go
@@ -21,6 +21,9 @@
 	// are asked (the suspicion of SWIM: Das, Gupta, Motivala, 2002). It must exceed a
 	// round trip and the time in which a busy daemon reads its datagrams.
 	ObjectFor time.Duration
+	// ZoneProbes is how many targets of a zone are probed before it is held for dead. Where
+	// one of them is alone dead the others answer.
+	ZoneProbes int
 	// Window is how long evidence counts.
 	Window time.Duration
 	// HoldFor is how long a verdict holds. Then flows reach the target again, and show
@@ -44,6 +47,7 @@
 		MostSilence:  700 * time.Millisecond,
 		SignsMissed:  3,
 		ObjectFor:    150 * time.Millisecond,
+		ZoneProbes:   4,
 		Window:       3 * time.Second,
 		HoldFor:      3 * time.Second,
 
--- a/internal/liveness/detector.go
+++ b/internal/liveness/detector.go
@@ -1,10 +1,14 @@
-// Package liveness finds targets that are dead: callers at several daemons send again what
-// nobody acknowledges, and no daemon sees a sign of life. A daemon that suspects a target
-// tells a few judges, chosen by the target; a judge with the word of several asks all
+// Package liveness finds targets, and zones of them, that are dead: callers at several
+// daemons send again what nobody acknowledges, and no daemon sees a sign of life. A daemon
+// that suspects one tells a few judges, chosen by what is suspected; a judge with the word of several asks all
 // daemons, and those that have heard from the target object. It also probes the target
 // itself. If nobody hears from it in time, the judge tells all that the target is dead,
 // until anybody does.
 //
+// A zone none of whose targets is heard from is held for silent in the same way. That buries none
+// of them, as one that nobody uses may live; it lets a daemon judge alone of a target that it
+// has callers at.
+//
 // A target that is slow, overloaded or fails requests acknowledges what it receives, and
 // is not suspected. One that some daemons cannot reach answers the judge's probe, or is
 // heard from by others. A daemon that has forwarded nothing since a silence began that was
@@ -20,12 +24,12 @@
 	"time"
 )
 
-// Verdict is the decision that a target is dead.
+// Verdict is the decision that a subject is dead.
 type Verdict struct {
-	Target uint64
+	Subject Subject
 	// Until is how long it holds.
 	Until time.Time
-	// Silence is for how long nobody has heard from the target. Reporters, Flows and Sends
+	// Silence is for how long nobody has heard from it. Reporters, Flows and Sends
 	// are what decided; they are 0 if another daemon did.
 	Silence                 time.Duration
 	Reporters, Flows, Sends int
@@ -34,24 +38,37 @@
 // Output is what one step brought forth.
 type Output struct {
 	Dead []Verdict
+	// Silent are verdicts on zones. They bury no target: one that nobody uses may live.
+	Silent []Verdict
 	// Alive are targets that were held for dead and are not.
 	Alive   []uint64
 	Reports []Outgoing
-	// Probes are targets to be probed: the outcome is to be told to Probed, whatever it
-	// is.
-	Probes []uint64
+	// Probes are to be made: the outcome of each is to be told to Probed, whatever it is.
+	Probes []Probe
+}
+
+// Probe is a target that is to be probed for a subject.
+type Probe struct {
+	Subject Subject
+	Target  uint64
+	// IsAlone says that this daemon judges by itself.
+	IsAlone bool
 }
 
 // Directory tells what this daemon knows of targets.
 type Directory interface {
-	// IsRoutable reports whether flows of a target are forwarded.
-	IsRoutable(target uint64) bool
-	// LastLife is when this daemon last saw that a target sent something, zero if it
+	// ZoneOf returns a target's zone; found is false if flows of it are not forwarded.
+	ZoneOf(target uint64) (zone string, found bool)
+	// IsKnown reports whether flows of a subject are forwarded.
+	IsKnown(subject Subject) bool
+	// LastLife is when this daemon last saw that a subject sent something, zero if it
 	// never did.
-	LastLife(target uint64) time.Time
-	// ExpectedRate is how many signs of life of a target all daemons together are
+	LastLife(subject Subject) time.Time
+	// ExpectedRate is how many signs of life of a subject all daemons together are
 	// expected to see in a second.
-	ExpectedRate(target uint64) float64
+	ExpectedRate(subject Subject) float64
+	// TargetsToProbe returns some targets, at most count, that speak for a subject.
+	TargetsToProbe(subject Subject, count int) []uint64
 	// LastAnswered is when this daemon forwarded the latest request that some target has
 	// answered.
 	LastAnswered() time.Time
@@ -60,14 +77,14 @@
 // Detector is one daemon's part.
 type Detector struct {
 	config   Config
-	suspects map[uint64]*suspect
+	suspects map[Subject]*suspect
 	// observed are reports on what was observed since the last tick.
 	observed Output
 }
 
 // New makes a detector.
 func New(config Config) *Detector {
-	return &Detector{config: config, suspects: map[uint64]*suspect{}}
+	return &Detector{config: config, suspects: map[Subject]*suspect{}}
 }
 
 // self is this daemon as a reporter.
@@ -76,11 +93,17 @@
 // Observe takes in that a caller of this daemon sent data again on a flow; the target had
 // not acknowledged it since a time. What is to be told of it comes with the next tick.
 func (d *Detector) Observe(now time.Time, directory Directory, target, flow uint64, since time.Time) {
-	if !directory.IsRoutable(target) || !reachesTargets(directory, since) {
+	zone, found := directory.ZoneOf(target)
+	if !found || !reachesTargets(directory, since) {
 		return
 	}
-	suspected := d.suspect(target)
-	suspected.seeLife(directory.LastLife(target))
+	d.observe(now, directory, Subject{Target: target}, flow, since)
+	d.observe(now, directory, Subject{Zone: zone}, flow, since)
+}
+
+func (d *Detector) observe(now time.Time, directory Directory, subject Subject, flow uint64, since time.Time) {
+	suspected := d.suspect(subject)
+	suspected.seeLife(directory.LastLife(subject))
 	if !suspected.lifeAt.Before(since) || suspected.isDead(now) {
 		return
 	}
@@ -95,7 +118,7 @@
 	suspected.evidence[self] = own
 	judges := min(d.config.FirstJudges<<min(suspected.told, maximumDoublings), d.config.MostJudges)
 	suspected.told++
-	report := Report{Target: target, Kind: Silent, Flows: own.flows, Sends: own.sends}
+	report := Report{Subject: subject, Kind: Silent, Flows: own.flows, Sends: own.sends}
 	d.observed.tell(Outgoing{Judges: judges, Report: report}, now.Sub(own.since))
 }
 
@@ -106,26 +129,28 @@
 }
 
 // Probed takes in whether a target that was to be probed answered.
-func (d *Detector) Probed(now time.Time, target uint64, hasAnswered bool) {
-	suspected := d.suspects[target]
+func (d *Detector) Probed(now time.Time, probe Probe, hasAnswered bool) {
+	suspected := d.suspects[probe.Subject]
 	switch {
 	case suspected == nil:
 	case hasAnswered:
 		suspected.seeLife(now)
-	default:
-		suspected.probeFailed = true
+	case probe.IsAlone:
+		suspected.alone = probeFailed
+	case suspected.askedHere:
+		suspected.probesLeft--
 	}
 }
 
 // maximumDoublings keeps the doubling of judges within its type.
 const maximumDoublings = 10
 
-// suspect returns what is held of a target.
-func (d *Detector) suspect(target uint64) *suspect {
-	suspected := d.suspects[target]
+// suspect returns what is held of a subject.
+func (d *Detector) suspect(subject Subject) *suspect {
+	suspected := d.suspects[subject]
 	if suspected == nil {
 		suspected = newSuspect()
-		d.suspects[target] = suspected
+		d.suspects[subject] = suspected
 	}
 	return suspected
 }
@@ -140,7 +165,7 @@
 func (d *Detector) Hear(now time.Time, directory Directory, reports []Received) Output {
 	var output Output
 	for index := range reports {
-		if directory.IsRoutable(reports[index].Target) {
+		if directory.IsKnown(reports[index].Subject) {
 			d.hearOne(now, directory, &reports[index], &output)
 		}
 	}
@@ -148,8 +173,8 @@
 }
 
 func (d *Detector) hearOne(now time.Time, directory Directory, report *Received, output *Output) {
-	suspected := d.suspect(report.Target)
-	suspected.seeLife(directory.LastLife(report.Target))
+	suspected := d.suspect(report.Subject)
+	suspected.seeLife(directory.LastLife(report.Subject))
 	since := now.Add(-report.Age())
 	if report.Kind != Alive && !suspected.lifeAt.Before(since) {
 		d.object(now, report, suspected, output)
@@ -158,7 +183,7 @@
 	switch report.Kind {
 	case Silent:
 		if suspected.isDead(now) {
-			verdict := Outgoing{To: report.From, Report: Report{Target: report.Target, Kind: Dead}}
+			verdict := Outgoing{To: report.From, Report: Report{Subject: report.Subject, Kind: Dead}}
 			output.tell(verdict, now.Sub(suspected.silentSince))
 			return
 		}
@@ -170,10 +195,10 @@
 		}
 	case Alive:
 		suspected.seeLife(since)
-		d.revive(now, report.Target, suspected, output)
+		d.revive(now, report.Subject, suspected, output)
 	case Dead:
 		if !suspected.isDead(now) && reachesTargets(directory, since) {
-			d.bury(now, report.Target, suspected, Verdict{Silence: report.Age()}, output)
+			d.bury(now, report.Subject, suspected, Verdict{Silence: report.Age()}, output)
 		}
 	}
 }
@@ -181,7 +206,7 @@
 // object answers with a sign of life that the sender of a report does not know of. After a
 // verdict all have to know.
 func (d *Detector) object(now time.Time, report *Received, suspected *suspect, output *Output) {
-	objection := Outgoing{Report: Report{Target: report.Target, Kind: Alive}}
+	objection := Outgoing{Report: Report{Subject: report.Subject, Kind: Alive}}
 	if report.Kind != Dead {
 		objection.To = report.From
 	}
@@ -189,21 +214,28 @@
 }
 
 // revive takes a verdict back after a sign of life.
-func (d *Detector) revive(now time.Time, target uint64, suspected *suspect, output *Output) {
-	if suspected.isDead(now) && suspected.lifeAt.After(suspected.silentSince) {
-		suspected.deadUntil = time.Time{}
-		output.Alive = append(output.Alive, target)
+func (d *Detector) revive(now time.Time, subject Subject, suspected *suspect, output *Output) {
+	if !suspected.isDead(now) || !suspected.lifeAt.After(suspected.silentSince) {
+		return
+	}
+	suspected.deadUntil = time.Time{}
+	if subject.Zone == "" {
+		output.Alive = append(output.Alive, subject.Target)
 	}
 }
 
-// bury holds a target for dead.
-func (d *Detector) bury(now time.Time, target uint64, suspected *suspect, verdict Verdict, output *Output) {
-	verdict.Target = target
+// bury holds a subject for dead.
+func (d *Detector) bury(now time.Time, subject Subject, suspected *suspect, verdict Verdict, output *Output) {
+	verdict.Subject = subject
 	verdict.Until = now.Add(d.config.HoldFor)
 	suspected.deadUntil = verdict.Until
 	suspected.silentSince = now.Add(-verdict.Silence)
 	clear(suspected.evidence)
 	suspected.forgetQuestion()
+	if subject.Zone != "" {
+		output.Silent = append(output.Silent, verdict)
+		return
+	}
 	output.Dead = append(output.Dead, verdict)
 }
 
@@ -211,27 +243,28 @@
 func (d *Detector) Tick(now time.Time, directory Directory) Output {
 	output := d.observed
 	d.observed = Output{}
-	for _, target := range slices.Sorted(maps.Keys(d.suspects)) { // in a fixed order, for seeded runs
-		suspected := d.suspects[target]
+	for _, subject := range slices.SortedFunc(maps.Keys(d.suspects), Subject.compare) { // for seeded runs
+		suspected := d.suspects[subject]
 		suspected.expire(now)
 		wasDead := suspected.isDead(now)
-		if suspected.seeLife(directory.LastLife(target)) {
-			d.revive(now, target, suspected, &output)
+		if suspected.seeLife(directory.LastLife(subject)) {
+			d.revive(now, subject, suspected, &output)
 		}
 		if wasDead && !suspected.isDead(now) {
-			output.tell(Outgoing{Report: Report{Target: target, Kind: Alive}}, now.Sub(suspected.lifeAt))
+			output.tell(Outgoing{Report: Report{Subject: subject, Kind: Alive}}, now.Sub(suspected.lifeAt))
 		}
-		d.judge(now, directory, target, suspected, &output)
+		d.judge(now, directory, subject, suspected, &output)
+		d.judgeAlone(now, directory, subject, suspected, &output)
 		if suspected.isOver(now) {
-			delete(d.suspects, target)
+			delete(d.suspects, subject)
 		}
 	}
 	return output
 }
 
-// judge asks all about a target against which there is enough evidence, and holds it for
+// judge asks all about a subject against which there is enough evidence, and holds it for
 // dead if nobody objected in time.
-func (d *Detector) judge(now time.Time, directory Directory, target uint64, suspected *suspect, output *Output) {
+func (d *Detector) judge(now time.Time, directory Directory, subject Subject, suspected *suspect, output *Output) {
 	flows, sends, since := suspected.weigh()
 	if !d.isEnough(suspected) || suspected.isDead(now) || !reachesTargets(directory, since) {
 		return
@@ -243,17 +276,56 @@
 	if !suspected.askedHere {
 		if d.isTurn(now, suspected) {
 			suspected.askedAt, suspected.askedHere = now, true
-			output.tell(Outgoing{Report: Report{Target: target, Kind: Asked}}, silence)
-			output.Probes = append(output.Probes, target)
+			output.tell(Outgoing{Report: Report{Subject: subject, Kind: Asked}}, silence)
+			d.probe(directory, subject, suspected, output)
 		}
 		return
 	}
-	if !suspected.probeFailed || now.Sub(suspected.askedAt) < d.config.ObjectFor || silence < d.silenceNeeded(directory.ExpectedRate(target)) {
+	if suspected.probesLeft > 0 || now.Sub(suspected.askedAt) < d.config.ObjectFor || silence < d.silenceNeeded(directory.ExpectedRate(subject)) {
 		return
 	}
 	verdict := Verdict{Silence: silence, Reporters: len(suspected.evidence), Flows: flows, Sends: sends}
-	output.tell(Outgoing{Report: Report{Target: target, Kind: Dead}}, silence)
-	d.bury(now, target, suspected, verdict, output)
+	output.tell(Outgoing{Report: Report{Subject: subject, Kind: Dead}}, silence)
+	d.bury(now, subject, suspected, verdict, output)
+}
+
+// judgeAlone holds a target of a silent zone for dead on what this daemon itself saw: a caller
+// that sent again, and a probe of the very target that failed. Where callers are few beside
+// targets no single one shows its silence to several daemons. One that lives acknowledges.
+func (d *Detector) judgeAlone(now time.Time, directory Directory, subject Subject, suspected *suspect, output *Output) {
+	own, isSeen := suspected.evidence[self]
+	if !isSeen || suspected.isDead(now) || !d.isInSilentZone(now, directory, subject) || !reachesTargets(directory, own.since) {
+		return
+	}
+	if suspected.alone == probeNone {
+		suspected.alone = probePending
+		output.Probes = append(output.Probes, Probe{Subject: subject, Target: subject.Target, IsAlone: true})
+	}
+	if silence := now.Sub(own.since); suspected.alone == probeFailed && silence >= d.config.LeastSilence {
+		d.bury(now, subject, suspected, Verdict{Silence: silence, Reporters: 1, Flows: own.flows, Sends: own.sends}, output)
+	}
+}
+
+// isInSilentZone reports whether a target's zone is held for silent.
+func (d *Detector) isInSilentZone(now time.Time, directory Directory, subject Subject) bool {
+	if subject.Zone != "" {
+		return false
+	}
+	zone, found := directory.ZoneOf(subject.Target)
+	if !found {
+		return false
+	}
+	suspected := d.suspects[Subject{Zone: zone}]
+	return suspected != nil && suspected.isDead(now)
+}
+
+// probe asks for probes of what speaks for a subject.
+func (d *Detector) probe(directory Directory, subject Subject, suspected *suspect, output *Output) {
+	targets := directory.TargetsToProbe(subject, d.config.ZoneProbes)
+	suspected.probesLeft = len(targets)
+	for _, target := range targets {
+		output.Probes = append(output.Probes, Probe{Subject: subject, Target: target})
+	}
 }
 
 // isTurn reports whether it is on this judge to ask: those that rank above it did not, or
--- a/internal/liveness/suspect.go
+++ b/internal/liveness/suspect.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// suspect is what is known of one target that somebody holds for silent.
+// suspect is what is known of a subject that somebody holds for silent.
 type suspect struct {
 	// evidence is by reporter; the zero address is this daemon.
 	evidence map[netip.AddrPort]evidence
@@ -18,8 +18,10 @@
 	// askedHere says that it was this one.
 	askedAt   time.Time
 	askedHere bool
-	// probeFailed says that the target left a probe unanswered since.
-	probeFailed bool
+	// probesLeft is how many probes were not answered yet; 0 if there are none to be made.
+	probesLeft int
+	// alone is how the probe ended by which this daemon judges alone.
+	alone probeState
 	// rank is this daemon's among the judges, enoughAt since when the evidence is enough.
 	rank     int
 	enoughAt time.Time
@@ -29,6 +31,15 @@
 	silentSince time.Time
 }
 
+// probeState is how far a probe has come.
+type probeState uint8
+
+const (
+	probeNone probeState = iota
+	probePending
+	probeFailed
+)
+
 // evidence is what one daemon saw: from when on its callers got no acknowledgement.
 type evidence struct {
 	since        time.Time
@@ -70,7 +81,7 @@
 
 func (s *suspect) forgetQuestion() {
 	s.askedAt, s.enoughAt = time.Time{}, time.Time{}
-	s.askedHere, s.probeFailed = false, false
+	s.askedHere, s.probesLeft, s.alone = false, 0, probeNone
 }
 
 // weigh sums the evidence. since is when the silence began that all of it is of.
--- a/internal/node/followed_liveness.go
+++ b/internal/node/followed_liveness.go
@@ -15,6 +15,8 @@
 	messageDead  = "target held for dead"
 	messageAlive = "target alive after all"
 
+	messageSilentZone = "zone held for silent"
+
 	// probeTimeout is how long a target may take to answer a probe. It is the time that
 	// other daemons have to object, and many round trips.
 	probeTimeout = 150 * time.Millisecond
@@ -27,8 +29,12 @@
 type livenessDirectory struct{ *directory }
 
 // ExpectedRate takes each answer for a sign of life.
-func (d livenessDirectory) ExpectedRate(target uint64) float64 {
-	return d.directory.ExpectedRate(d.ServiceBehind(target))
+func (d livenessDirectory) ExpectedRate(subject liveness.Subject) float64 {
+	rate := 0.0
+	for service, targets := range d.ServicesOf(subject) {
+		rate += float64(targets) * d.directory.ExpectedRate(service)
+	}
+	return rate
 }
 
 // LastAnswered serves liveness.Directory.
@@ -44,25 +50,25 @@
 	for _, data := range n.plane.unacknowledged() {
 		n.lives.Observe(now, targets, data.Target, data.Flow, data.Since)
 	}
-	n.carryLives(table, n.lives.Tick(now, targets))
+	n.carryLives(now, table, n.lives.Tick(now, targets))
 }
 
 // hearLives takes in what other daemons say of targets' lives.
 func (n *Followed) hearLives(now time.Time, reports []liveness.Received) {
 	if table := n.plane.table.Load(); table != nil && len(reports) > 0 {
-		n.carryLives(table, n.lives.Hear(now, n.livenessDirectory(now, table), reports))
+		n.carryLives(now, table, n.lives.Hear(now, n.livenessDirectory(now, table), reports))
 	}
 }
 
-// carryLives puts verdicts into force: flows of a dead target are reset at once, those
+// carryLives puts verdicts into force: flows of dead targets are reset at once, those
 // that wait now and others with their next packet.
-func (n *Followed) carryLives(table *token.Table, output liveness.Output) {
+func (n *Followed) carryLives(now time.Time, table *token.Table, output liveness.Output) {
 	for _, verdict := range output.Dead {
-		table.SetDead(verdict.Target, verdict.Until, verdict.Until.Add(deadProbation))
-		reset := n.plane.resetWaiting(verdict.Target)
+		table.SetDead(verdict.Subject.Target, verdict.Until, verdict.Until.Add(deadProbation))
+		reset := n.plane.resetWaiting(func(target uint64) bool { return table.IsDead(now, target) })
 		n.counters().dead.Add(1)
 		n.log.Info(messageDead,
-			telemetry.FieldTarget, strconv.FormatUint(verdict.Target, 16),
+			telemetry.FieldTarget, strconv.FormatUint(verdict.Subject.Target, 16),
 			telemetry.FieldSpan, verdict.Silence.String(),
 			telemetry.FieldReporters, verdict.Reporters,
 			telemetry.FieldEvidence, verdict.Sends,
@@ -70,24 +76,27 @@
 		)
 	}
 	for _, target := range output.Alive {
-		table.SetDead(target, time.Unix(0, 0), time.Unix(0, 0))
+		table.SetAlive(target)
 		n.counters().revived.Add(1)
 		n.log.Info(messageAlive, telemetry.FieldTarget, strconv.FormatUint(target, 16))
 	}
+	for _, verdict := range output.Silent {
+		n.log.Info(messageSilentZone, telemetry.FieldZone, verdict.Subject.Zone, telemetry.FieldSpan, verdict.Silence.String())
+	}
 	n.link.send(n.fleet.TellLiveness(output.Reports))
-	for _, target := range output.Probes {
-		if address, found := table.AddressOf(target); found {
+	for _, probe := range output.Probes {
+		if address, found := table.AddressOf(probe.Target); found {
 			n.waiting.Add(1)
-			go n.probe(target, address)
+			go n.probe(probe, address)
 		}
 	}
 }
 
 // probe asks whether a target accepts connections. It sends nothing on them.
-func (n *Followed) probe(target uint64, address netip.AddrPort) {
+func (n *Followed) probe(probe liveness.Probe, address netip.AddrPort) {
 	defer n.waiting.Done()
 	hasAnswered := n.reaches(address)
-	n.enqueue(func(now time.Time) { n.lives.Probed(now, target, hasAnswered) })
+	n.enqueue(func(now time.Time) { n.lives.Probed(now, probe, hasAnswered) })
 }
 
 func (n *Followed) reaches(address netip.AddrPort) bool {
--- a/internal/simulation/lives_test.go
+++ b/internal/simulation/lives_test.go
@@ -162,3 +162,41 @@
 		assert.Equal(t, len(run.Violations), 0, "seed %d: %v", seed, run.Violations)
 	})
 }
+
+// TestADeadTargetTakesNoOtherOfItsZoneAlong: others of its zone may have no callers, and so
+// show no life.
+func TestADeadTargetTakesNoOtherOfItsZoneAlong(t *testing.T) {
+	forEachSeed(t, func(t *testing.T, seed uint64) {
+		run := startFlowRun(seed)
+		run.playFor(3)
+		run.CrashTarget(run.present["roster"][int(seed)%len(run.present["roster"])])
+		run.playFor(5)
+		assert.Equal(t, len(run.Violations), 0, "seed %d: %v", seed, run.Violations)
+	})
+}
+
+// TestCallersOfALostZoneAreToldThoughEachTargetHasFew: no target of the zone has two callers
+// that ask while it is dead.
+func TestCallersOfALostZoneAreToldThoughEachTargetHasFew(t *testing.T) {
+	var waits []time.Duration
+	for seed := range uint64(5) {
+		run := startFlowRun(seed)
+		for range 300 {
+			run.add("roster", run.freshAddress())
+		}
+		run.Clock.Advance(time.Second)
+		run.playFor(4)
+		run.Waits = nil
+		for _, target := range slices.Concat(run.present["roster"], run.present["ledger"]) {
+			if target.Zone == testZones[0] {
+				run.CrashTarget(target)
+			}
+		}
+		run.playFor(2)
+		waits = append(waits, run.Waits...)
+	}
+	slices.Sort(waits)
+	assert.Assert(t, len(waits) > 60, "%d callers were told", len(waits))
+	t.Logf("%d callers, half told within %s, nine tenths within %s", len(waits), waits[len(waits)/2], waits[len(waits)*9/10])
+	assert.Assert(t, waits[len(waits)/2] < 800*time.Millisecond)
+}
--- a/internal/steering/token/builder.go
+++ b/internal/steering/token/builder.go
@@ -105,7 +105,7 @@
 		held[described.Identifier] = signal
 		target := &Target{
 			Identifier: described.Identifier, Token: Of(described.Identifier), Service: described.Service,
-			Address: described.Address, Signal: signal,
+			Zone: described.Zone, Address: described.Address, Signal: signal,
 			MayOpen:     !described.Gone && !described.Draining && !evacuated[described.Zone],
 			IsEvacuated: evacuated[described.Zone],
 			IsLapsed:    described.Gone && !described.Draining, LearnedAt: described.LearnedAt,
--- a/internal/steering/token/unacknowledged.go
+++ b/internal/steering/token/unacknowledged.go
@@ -45,12 +45,12 @@
 	return unacknowledged
 }
 
-// TakeWaiting ends the requests that wait for a target, and returns for each the head of
-// the packet that a reset answers.
-func (r *Requests) TakeWaiting(target uint64) []Packet {
+// TakeWaiting ends the requests that wait for targets that are dead, and returns for each the
+// head of the packet that a reset answers.
+func (r *Requests) TakeWaiting(isDead func(target uint64) bool) []Packet {
 	var packets []Packet
 	for key, held := range r.waiting {
-		if held.target == target {
+		if isDead(held.target) {
 			r.end(key)
 			packets = append(packets, Packet{Source: key.caller, Destination: held.destination, Token: held.token, Acknowledgement: held.acknowledgement})
 		}
