--- /dev/null
+++ b/internal/liveness/judge.go
@@ -0,0 +1,120 @@
+package liveness
+
+import "time"
+
+// revive takes a verdict back after a sign of life.
+func (d *Detector) revive(now time.Time, subject Subject, suspected *suspect, output *Output) {
+	if !suspected.isDead(now) || !suspected.lifeAt.After(suspected.silentSince) {
+		return
+	}
+	suspected.deadUntil = time.Time{}
+	if subject.Zone == "" {
+		output.Alive = append(output.Alive, subject.Target)
+	}
+}
+
+// bury holds a target for dead, or a zone for silent.
+func (d *Detector) bury(now time.Time, subject Subject, suspected *suspect, verdict Verdict, output *Output) {
+	verdict.Subject = subject
+	verdict.Until = now.Add(d.config.HoldFor)
+	suspected.deadUntil = verdict.Until
+	suspected.silentSince = now.Add(-verdict.Silence)
+	clear(suspected.evidence)
+	suspected.forgetQuestion()
+	if subject.Zone != "" {
+		output.Silent = append(output.Silent, verdict)
+		return
+	}
+	output.Dead = append(output.Dead, verdict)
+}
+
+// judge asks all about a subject against which there is enough evidence, and holds it for
+// dead if nobody objected in time.
+func (d *Detector) judge(now time.Time, directory Directory, subject Subject, suspected *suspect, output *Output) {
+	flows, sends, since := suspected.weigh()
+	if !d.isEnough(suspected) || suspected.isDead(now) || !reachesTargets(directory, since) {
+		return
+	}
+	silence := now.Sub(since)
+	if suspected.enoughAt.IsZero() {
+		suspected.enoughAt = now
+	}
+	if !suspected.askedHere {
+		if d.isTurn(now, suspected) {
+			suspected.askedAt, suspected.askedHere = now, true
+			output.tell(Outgoing{Report: Report{Subject: subject, Kind: Asked}}, silence)
+			d.probe(directory, subject, suspected, output)
+		}
+		return
+	}
+	if suspected.probesLeft > 0 || now.Sub(suspected.askedAt) < d.config.ObjectFor || silence < d.silenceNeeded(directory.ExpectedRate(subject)) {
+		return
+	}
+	verdict := Verdict{Silence: silence, Reporters: len(suspected.evidence), Flows: flows, Sends: sends}
+	output.tell(Outgoing{Report: Report{Subject: subject, Kind: Dead}}, silence)
+	d.bury(now, subject, suspected, verdict, output)
+}
+
+// judgeAlone holds a target of a silent zone for dead on what this daemon itself saw: a caller
+// that sent again, and a probe of the very target that failed. Where callers are few beside
+// targets no single one shows its silence to several daemons. One that lives acknowledges.
+func (d *Detector) judgeAlone(now time.Time, directory Directory, subject Subject, suspected *suspect, output *Output) {
+	own, isSeen := suspected.evidence[self]
+	if !isSeen || suspected.isDead(now) || !d.isInSilentZone(now, directory, subject) || !reachesTargets(directory, own.since) {
+		return
+	}
+	if suspected.alone == probeNone {
+		suspected.alone = probePending
+		output.Probes = append(output.Probes, Probe{Subject: subject, Target: subject.Target, IsAlone: true})
+	}
+	if silence := now.Sub(own.since); suspected.alone == probeFailed && silence >= d.config.LeastSilence {
+		d.bury(now, subject, suspected, Verdict{Silence: silence, Reporters: 1, Flows: own.flows, Sends: own.sends}, output)
+	}
+}
+
+// isInSilentZone reports whether a target's zone is held for silent.
+func (d *Detector) isInSilentZone(now time.Time, directory Directory, subject Subject) bool {
+	if subject.Zone != "" {
+		return false
+	}
+	zone, found := directory.ZoneOf(subject.Target)
+	if !found {
+		return false
+	}
+	suspected := d.suspects[Subject{Zone: zone}]
+	return suspected != nil && suspected.isDead(now)
+}
+
+// probe asks for probes of what speaks for a subject.
+func (d *Detector) probe(directory Directory, subject Subject, suspected *suspect, output *Output) {
+	targets := directory.TargetsToProbe(subject, d.config.ZoneProbes)
+	suspected.probesLeft = len(targets)
+	for _, target := range targets {
+		output.Probes = append(output.Probes, Probe{Subject: subject, Target: target})
+	}
+}
+
+// isTurn reports whether it is on this judge to ask: those that rank above it did not, or
+// came to no verdict.
+func (d *Detector) isTurn(now time.Time, suspected *suspect) bool {
+	if suspected.askedAt.IsZero() {
+		return now.Sub(suspected.enoughAt) >= time.Duration(suspected.rank)*d.config.ObjectFor
+	}
+	return now.Sub(suspected.askedAt) >= 2*d.config.ObjectFor
+}
+
+// isEnough reports whether the evidence suffices to ask all.
+func (d *Detector) isEnough(suspected *suspect) bool {
+	flows, sends, _ := suspected.weigh()
+	return len(suspected.evidence) >= d.config.Reporters && flows >= d.config.Flows && sends >= d.config.Sends
+}
+
+// silenceNeeded is how long a target must be silent, given how many signs of life are
+// expected in a second.
+func (d *Detector) silenceNeeded(rate float64) time.Duration {
+	if rate <= 0 {
+		return d.config.MostSilence
+	}
+	needed := time.Duration(d.config.SignsMissed / rate * float64(time.Second))
+	return min(max(needed, d.config.LeastSilence), d.config.MostSilence)
+}
--- /dev/null
+++ b/internal/simulation/flows_checks.go
@@ -0,0 +1,73 @@
+package simulation
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/passtray/passtray/internal/steering/token"
+)
+
+// refused is a reset that a daemon sent to the caller. On a flow that is open at a
+// living target it may come only where the route is gone.
+func (m *FlowModel) refused(flow *Flow, reason token.Reason) {
+	isOpen := flow.Opened && !flow.Ended && flow.Target.answersCallers() && !m.Frozen[flow.Target]
+	if isOpen && m.leadsSomewhere(flow.Route) {
+		m.violate("FLOW: an open flow to %s was reset: %s", flow.Target.Key, reason)
+	}
+	if flow.Opened && !flow.Ended && !flow.askedAt.IsZero() {
+		m.Waits = append(m.Waits, m.Clock.Now().Sub(flow.askedAt))
+	}
+	flow.Ended = true
+}
+
+func (m *FlowModel) leadsSomewhere(route netip.AddrPort) bool {
+	for _, allowed := range m.allowed[route] {
+		if allowed.until.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// isInTouch reports whether bounds hold for a daemon now.
+func (m *FlowModel) isInTouch(daemon int) bool {
+	return m.Clock.Now().Sub(m.Daemons[daemon].TroubledAt) >= 4*time.Second
+}
+
+func (m *FlowModel) checkRoute(flow *Flow, daemon int, target *FlowTarget, sentAt time.Time) {
+	allowed := m.allowed[flow.Route][target.Service]
+	if allowed == nil {
+		m.violate("ROUTE: %s of service %s got a flow to %s", target.Key, target.Service, flow.Route)
+		return
+	}
+	isLate := !allowed.until.IsZero() && sentAt.Sub(allowed.until) > drainBound
+	if isLate && m.isInTouch(daemon) && m.StoreIsStable() {
+		m.violate("CONFIG: daemon %d sends flows to %s %s after it left the route", daemon, target.Service, sentAt.Sub(allowed.until))
+	}
+}
+
+func (m *FlowModel) checkDrain(daemon int, target *FlowTarget) {
+	if target.LeavingAt.IsZero() || !m.isInTouch(daemon) || !m.StoreIsStable() {
+		return
+	}
+	if late := m.Clock.Now().Sub(target.LeavingAt); late > drainBound {
+		m.violate("DRAIN: daemon %d gave %s a flow %s after it began to leave", daemon, target.Key, late)
+	}
+}
+
+// checkEvacuation holds a daemon in touch to an order that stands.
+func (m *FlowModel) checkEvacuation(daemon int, target *FlowTarget) {
+	since, isEvacuated := m.evacuated[target.Zone]
+	if !isEvacuated || !m.isInTouch(daemon) || !m.StoreIsStable() {
+		return
+	}
+	if late := m.Clock.Now().Sub(since); late > evacuationBound {
+		m.violate("EVAC: daemon %d gave %s a flow %s after %s was evacuated", daemon, target.Key, late, target.Zone)
+	}
+}
+
+// StoreIsStable reports whether the store has been well for long enough for
+// bounds to hold.
+func (m *FlowModel) StoreIsStable() bool {
+	return m.Store.State == StoreWell && m.Clock.Now().Sub(m.Store.TroubledAt) >= 4*time.Second
+}
