--- a/internal/lab/labctl/soak.go
+++ b/internal/lab/labctl/soak.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/passtray/passtray/internal/lab"
 )
 
@@ -17,14 +19,23 @@
 	First     uint64        `long:"first" default:"1" description:"the first seed"`
 	Parallel  int           `long:"parallel" default:"2" description:"how many runs at once"`
 	Duration  time.Duration `long:"duration" default:"14s" description:"replaces the scenario's duration"`
-	Directory string        `long:"directory" default:"lab-out" description:"where failing histories go"`
+	Directory string        `long:"directory" default:"lab-out" description:"where failing histories go; with a store, settings and logs of the daemons"`
+	Source    string        `long:"source" choice:"fleet" choice:"store" default:"fleet" description:"where the configuration comes from, as for passtrayd"`
+	Binary    string        `long:"binary" default:".bin/passtrayd" description:"with a store: the daemon's program"`
+	Seed      *uint64       `long:"seed" description:"with a store: play just this schedule"`
 	Args      struct {
 		Scenario string `positional-arg-name:"SCENARIO"`
-	} `positional-args:"true" required:"true"`
+	} `positional-args:"true"`
 }
 
 // Execute serves go-flags.
 func (c *soakCommand) Execute([]string) error {
+	if c.Source == sourceStore {
+		return c.soakStore()
+	}
+	if c.Args.Scenario == "" {
+		return eris.New("SCENARIO: is needed where the fleet agrees on its configuration")
+	}
 	scenario, err := lab.LoadScenario(c.Args.Scenario)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/lab/storelab/caller.go
@@ -0,0 +1,210 @@
+package storelab
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/passtray/passtray/internal/steering/token"
+	"github.com/passtray/passtray/platform"
+)
+
+const (
+	// openingBound is how long a caller tries to open a flow, requestBound how long it
+	// waits for an answer.
+	openingBound = 1400 * time.Millisecond
+	requestBound = 2 * time.Second
+	// firstCallerPort is the first of the ports that flows of a caller take in turn.
+	firstCallerPort = 10_000
+)
+
+// openingCopies and dataCopies are when a caller sends again, from its first send.
+var (
+	openingCopies = []time.Duration{200 * time.Millisecond, 600 * time.Millisecond}
+	dataCopies    = []time.Duration{200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond}
+)
+
+// habit is how a caller uses flows.
+type habit struct {
+	route netip.AddrPort
+	// mayRepeat says that its requests may run more than once.
+	mayRepeat bool
+	// perFlow is how many requests go on one flow, pause the most time between two.
+	perFlow int
+	pause   time.Duration
+}
+
+// caller is a host with one socket, at whose address all its flows end.
+type caller struct {
+	socket   *net.UDPConn
+	address  netip.Addr
+	recorder *Recorder
+	// isDaemon tells daemons from targets, forward takes a packet to the routers.
+	isDaemon func(from netip.AddrPort) bool
+	forward  func(flow Flow, datagram []byte)
+	numbers  *atomic.Uint64
+
+	mutex sync.Mutex
+	flows map[Flow]chan received
+	port  uint16
+}
+
+// received is a packet that reached a caller.
+type received struct {
+	packet       token.Packet
+	payload      []byte
+	isFromDaemon bool
+}
+
+// inboxLength is how many packets may wait for a flow.
+const inboxLength = 16
+
+func (c *caller) receive() {
+	receive(c.socket, func(from netip.AddrPort, datagram []byte) {
+		var packet token.Packet
+		if !(platform.PacketCodec{}).Parse(datagram, &packet) {
+			return
+		}
+		name := Flow{Caller: packet.Destination, Route: packet.Source}
+		isFromDaemon := c.isDaemon(from)
+		if packet.IsReset && isFromDaemon {
+			c.recorder.Note(Event{Kind: FlowReset, Flow: name})
+		}
+		c.mutex.Lock()
+		inbox := c.flows[name]
+		c.mutex.Unlock()
+		select {
+		case inbox <- received{packet: packet, payload: datagram[len(datagram)-packet.PayloadLength:], isFromDaemon: isFromDaemon}:
+		default: // the flow has ended, or its inbox is full
+		}
+	})
+}
+
+// run makes requests until the context ends.
+func (c *caller) run(ctx context.Context, used habit, random *rand.Rand) {
+	for ctx.Err() == nil {
+		flow := c.open(ctx, used.route)
+		if flow == nil {
+			rest(ctx, openingBound/4)
+			continue
+		}
+		for range used.perFlow {
+			if !c.request(ctx, flow, used, random) {
+				break
+			}
+			rest(ctx, time.Duration(random.Int64N(int64(used.pause))))
+		}
+		c.close(flow)
+	}
+}
+
+func rest(ctx context.Context, span time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(span):
+	}
+}
+
+// callerFlow is a flow that is open, as its caller sees it.
+type callerFlow struct {
+	name  Flow
+	inbox chan received
+	// token is the last one that came; next is the number of the caller's next byte,
+	// awaited that of its target's.
+	token         uint32
+	next, awaited uint32
+}
+
+// open opens a flow, and returns nil if none came about.
+func (c *caller) open(ctx context.Context, route netip.AddrPort) *callerFlow {
+	c.mutex.Lock()
+	c.port++
+	flow := &callerFlow{name: Flow{Caller: netip.AddrPortFrom(c.address, firstCallerPort+c.port%50_000), Route: route}, inbox: make(chan received, inboxLength)}
+	c.flows[flow.name] = flow.inbox
+	c.mutex.Unlock()
+	opening := token.Packet{IsOpening: true, Sequence: 1}
+	answer, isAnswered := c.exchange(ctx, flow, opening, nil, openingCopies, openingBound, func(answer *received) bool { return answer.packet.IsAnswer })
+	if !isAnswered {
+		c.forget(flow)
+		return nil
+	}
+	flow.token, flow.next, flow.awaited = answer.packet.Token, answer.packet.Acknowledgement, answer.packet.Sequence+1
+	c.send(flow, token.Packet{Token: flow.token, Sequence: flow.next, Acknowledgement: flow.awaited}, nil)
+	return flow
+}
+
+func (c *caller) close(flow *callerFlow) {
+	c.send(flow, token.Packet{Token: flow.token, Sequence: flow.next, Acknowledgement: flow.awaited, IsClosing: true}, nil)
+	c.forget(flow)
+}
+
+func (c *caller) forget(flow *callerFlow) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.flows, flow.name)
+}
+
+// request makes one request and reports whether its flow is of further use.
+func (c *caller) request(ctx context.Context, flow *callerFlow, used habit, random *rand.Rand) bool {
+	number := c.numbers.Add(1)
+	message := requestMessage{number: number, work: byte(5 + random.IntN(20))}.encode()
+	c.recorder.Note(Event{Kind: RequestSent, Flow: flow.name, Request: number, MayRepeat: used.mayRepeat})
+	packet := token.Packet{Token: flow.token, Sequence: flow.next, Acknowledgement: flow.awaited}
+	answer, isAnswered := c.exchange(ctx, flow, packet, message, dataCopies, requestBound, func(answer *received) bool { return len(answer.payload) > 0 })
+	decoded, isRead := decodeAnswer(answer.payload)
+	switch {
+	case ctx.Err() != nil:
+		return false
+	case !isAnswered || !isRead:
+		c.recorder.Note(Event{Kind: RequestFailed, Flow: flow.name, Request: number, MayRepeat: used.mayRepeat})
+		return false
+	}
+	c.recorder.Note(Event{Kind: RequestAnswered, Flow: flow.name, Request: decoded.number, Target: decoded.target})
+	flow.token = answer.packet.Token
+	flow.next += uint32(len(message))
+	flow.awaited = answer.packet.Sequence + uint32(len(answer.payload))
+	c.send(flow, token.Packet{Token: flow.token, Sequence: flow.next, Acknowledgement: flow.awaited}, nil)
+	return true
+}
+
+// exchange sends a packet, and copies of it, until an answer comes, the flow is reset or
+// the bound is over.
+func (c *caller) exchange(ctx context.Context, flow *callerFlow, packet token.Packet, payload []byte, copies []time.Duration, bound time.Duration, isAnswer func(*received) bool) (received, bool) {
+	began := time.Now()
+	over := time.After(bound)
+	c.send(flow, packet, payload)
+	for {
+		var again <-chan time.Time
+		if len(copies) > 0 {
+			again = time.After(time.Until(began.Add(copies[0])))
+		}
+		select {
+		case <-ctx.Done():
+			return received{}, false
+		case <-over:
+			return received{}, false
+		case <-again:
+			copies = copies[1:]
+			c.send(flow, packet, payload)
+		case answer := <-flow.inbox:
+			switch {
+			case answer.packet.IsReset:
+				return received{}, false
+			case isAnswer(&answer):
+				return answer, true
+			case !packet.IsOpening && answer.packet.Acknowledgement == packet.Sequence+uint32(len(payload)):
+				copies = nil // the target has it
+			}
+		}
+	}
+}
+
+// send writes a packet to where the routers take it.
+func (c *caller) send(flow *callerFlow, packet token.Packet, payload []byte) {
+	packet.Source, packet.Destination = flow.name.Caller, flow.name.Route
+	c.forward(flow.name, platform.PacketCodec{}.Write(&packet, payload))
+}
--- /dev/null
+++ b/internal/lab/storelab/check_test.go
@@ -0,0 +1,92 @@
+package storelab
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	testBounds = Bounds{Converge: 5 * time.Second, Leave: 5 * time.Second, Settle: 5 * time.Second, Recover: 5 * time.Second}
+	testRoute  = netip.MustParseAddrPort("198.18.0.1:443")
+	testFlow   = Flow{Caller: netip.MustParseAddrPort("127.0.3.1:4000"), Route: testRoute}
+)
+
+// goodRun is a run in which nothing goes wrong: a flow opens at target 1, which ends after
+// its request, at 20 s; the route moves from a to b at 30 s, and target 2 of b leaves at 40 s.
+func goodRun() []Event {
+	other := Flow{Caller: netip.MustParseAddrPort("127.0.3.2:4000"), Route: testRoute}
+	return []Event{
+		{At: 0, Kind: RouteAllowed, Flow: Flow{Route: testRoute}, Service: "a"},
+		{At: 1 * time.Second, Kind: Disturbed, Span: time.Second, Detail: "a daemon was killed"},
+		{At: 10 * time.Second, Kind: OpeningTaken, Flow: testFlow, Target: 1, Service: "a"},
+		{At: 11 * time.Second, Kind: FlowOpened, Flow: testFlow, Target: 1, Service: "a"},
+		{At: 12 * time.Second, Kind: RequestSent, Flow: testFlow, Request: 7},
+		{At: 13 * time.Second, Kind: RequestRan, Request: 7, Target: 1},
+		{At: 14 * time.Second, Kind: RequestAnswered, Flow: testFlow, Request: 7, Target: 1},
+		{At: 20 * time.Second, Kind: TargetEnded, Target: 1},
+		{At: 21 * time.Second, Kind: FlowReset, Flow: testFlow},
+		{At: 30 * time.Second, Kind: RouteForbidden, Flow: Flow{Route: testRoute}, Service: "a"},
+		{At: 30 * time.Second, Kind: RouteAllowed, Flow: Flow{Route: testRoute}, Service: "b"},
+		{At: 34 * time.Second, Kind: OpeningTaken, Flow: other, Target: 3, Service: "a"},
+		{At: 40 * time.Second, Kind: TargetLeaving, Target: 2},
+		{At: 44 * time.Second, Kind: OpeningTaken, Flow: other, Target: 2, Service: "b"},
+	}
+}
+
+func broken(t *testing.T, events []Event) []string {
+	t.Helper()
+	var names []string
+	for _, verdict := range Check(testBounds, events) {
+		if len(verdict.Violations) > 0 {
+			names = append(names, verdict.Invariant)
+		}
+	}
+	return names
+}
+
+func TestAGoodRunHolds(t *testing.T) {
+	for _, verdict := range Check(testBounds, goodRun()) {
+		assert.Equal(t, len(verdict.Violations), 0, "%s: %v", verdict.Invariant, verdict.Violations)
+		assert.Assert(t, verdict.Checked > 0, verdict.Invariant)
+	}
+}
+
+// TestEachBrokenRunIsFound adds one event to a good run that breaks one invariant.
+func TestEachBrokenRunIsFound(t *testing.T) {
+	at := func(seconds int) time.Duration { return time.Duration(seconds) * time.Second }
+	for name, double := range map[string]struct {
+		added   Event
+		finding string
+	}{
+		"a flow at a foreign service":       {Event{At: at(50), Kind: OpeningTaken, Flow: testFlow, Target: 9, Service: "c"}, ForeignService},
+		"a flow by an old version":          {Event{At: at(50), Kind: OpeningTaken, Flow: testFlow, Target: 3, Service: "a"}, OldVersion},
+		"a flow at a target that left":      {Event{At: at(50), Kind: OpeningTaken, Flow: testFlow, Target: 2, Service: "b"}, LeavingTarget},
+		"an answer to another":              {Event{At: at(50), Kind: RequestAnswered, Flow: Flow{Route: testRoute}, Request: 7, Target: 1}, WholeAnswer},
+		"an answer of another":              {Event{At: at(50), Kind: RequestAnswered, Flow: testFlow, Request: 7, Target: 2}, WholeAnswer},
+		"a request that ran twice":          {Event{At: at(50), Kind: RequestRan, Request: 7, Target: 2}, AtMostOnce},
+		"a request that nobody sent":        {Event{At: at(50), Kind: RequestRan, Request: 8, Target: 2}, AtMostOnce},
+		"a request that failed in the calm": {Event{At: at(50), Kind: RequestFailed, Request: 7}, ServedAfterward},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.DeepEqual(t, broken(t, append(goodRun(), double.added)), []string{double.finding})
+		})
+	}
+	t.Run("an open flow of a living target is reset", func(t *testing.T) {
+		events := goodRun()
+		events[8].At, events[8].Kind = events[7].At, FlowReset
+		events[7], events[8] = events[8], events[7]
+		assert.DeepEqual(t, broken(t, events), []string{LivingFlow})
+	})
+}
+
+func TestBoundsOfTimeWaitForAFaultsEnd(t *testing.T) {
+	events := append(
+		goodRun(),
+		Event{At: 46 * time.Second, Kind: Disturbed, Span: time.Second},
+		Event{At: 51 * time.Second, Kind: OpeningTaken, Flow: testFlow, Target: 2, Service: "b"},
+	)
+	assert.Equal(t, len(broken(t, events)), 0)
+}
--- /dev/null
+++ b/internal/lab/storelab/fault.go
@@ -0,0 +1,220 @@
+package storelab
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// restartAfter is how long a machine whose daemon was killed is without one.
+	restartAfter = 500 * time.Millisecond
+	// faultSpan is how long a fault lasts that ends by itself.
+	faultSpan = 3 * time.Second
+	// freezeSpan is how long a frozen process stands still.
+	freezeSpan = 1500 * time.Millisecond
+	// entryLifetime is how long a crashed target's entry stays in the store.
+	entryLifetime = 3 * time.Second
+	// firstFault leaves callers the time to open flows.
+	firstFault = 3 * time.Second
+)
+
+// Fault is one fault of a schedule.
+type Fault struct {
+	At time.Duration
+	Do string
+	// Draw chooses what it befalls.
+	Draw uint64
+}
+
+func (f Fault) String() string {
+	return fmt.Sprintf("%s at %.1f s (%x)", f.Do, f.At.Seconds(), f.Draw)
+}
+
+// actions are what faults do, by name.
+var actions = map[string]func(s *site, random *rand.Rand){
+	"kill": func(s *site, random *rand.Rand) { s.killSome(random, 1) },
+	"herd": func(s *site, random *rand.Rand) { s.killSome(random, max(1, len(s.daemons)*2/3)) },
+	"all":  func(s *site, random *rand.Rand) { s.killSome(random, len(s.daemons)) },
+	"stop": func(s *site, random *rand.Rand) { s.stop(s.daemons[random.IntN(len(s.daemons))]) },
+	"roll": func(s *site, _ *rand.Rand) {
+		for _, stopped := range s.daemons {
+			s.stop(stopped)
+		}
+	},
+	"freeze":          func(s *site, random *rand.Rand) { s.freeze(s.daemons[random.IntN(len(s.daemons))]) },
+	"store-down":      (*site).storeDown,
+	"store-silent":    func(s *site, _ *rand.Rand) { s.disturbPaths(s.daemons, pathSilent) },
+	"store-slow":      func(s *site, _ *rand.Rand) { s.disturbPaths(s.daemons, pathSlow) },
+	"store-one-way":   func(s *site, random *rand.Rand) { s.disturbPaths(s.some(random, len(s.daemons)/3), pathOneWay) },
+	"store-refuses":   func(s *site, random *rand.Rand) { s.disturbPaths(s.some(random, len(s.daemons)/3), pathRefusing) },
+	"store-mute-open": (*site).muteOpen,
+	"move-route":      (*site).moveRoute,
+	"drop-route":      (*site).dropRoute,
+	"crash":           func(s *site, random *rand.Rand) { s.withTarget(random, s.crash) },
+	"drain":           func(s *site, random *rand.Rand) { s.withTarget(random, s.drain) },
+	"reuse":           (*site).reuse,
+	"add": func(s *site, random *rand.Rand) {
+		s.started(s.addTarget([]string{serviceFeeds, serviceForms, serviceOther}[random.IntN(3)]))
+	},
+}
+
+// Faults draws a schedule from a seed. Every second schedule ends with all daemons killed.
+func Faults(seed uint64, count int, span time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 11))
+	names := make([]string, 0, len(actions))
+	for name := range actions {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var faults []Fault
+	for range count {
+		at := firstFault + time.Duration(random.Int64N(int64(span)))
+		faults = append(faults, Fault{At: at.Round(100 * time.Millisecond), Do: names[random.IntN(len(names))], Draw: random.Uint64()})
+	}
+	if seed%2 == 0 {
+		faults = append(faults, Fault{At: firstFault + span, Do: "all"})
+	}
+	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return faults
+}
+
+func (s *site) disturbed(span time.Duration, format string, values ...any) {
+	s.recorder.Note(Event{Kind: Disturbed, Span: span, Detail: fmt.Sprintf(format, values...)})
+}
+
+func (s *site) some(random *rand.Rand, count int) []*daemon {
+	chosen := slices.Clone(s.daemons)
+	random.Shuffle(len(chosen), func(a, b int) { chosen[a], chosen[b] = chosen[b], chosen[a] })
+	return chosen[:max(1, count)]
+}
+
+func (s *site) killSome(random *rand.Rand, count int) {
+	var waiting sync.WaitGroup
+	for _, killed := range s.some(random, count) {
+		s.disturbed(restartAfter, "%s is killed", killed.name)
+		waiting.Add(1)
+		go func() {
+			defer waiting.Done()
+			killed.kill()
+			time.Sleep(restartAfter)
+			s.startAgain(killed)
+		}()
+	}
+	waiting.Wait()
+}
+
+func (s *site) startAgain(ended *daemon) {
+	if err := ended.start(); err != nil {
+		s.disturbed(0, "%s does not start: %s", ended.name, err)
+	}
+}
+
+// stop ends a daemon as planned, and starts it again.
+func (s *site) stop(stopped *daemon) {
+	stopped.signal(syscall.SIGTERM)
+	stopped.wait()
+	s.startAgain(stopped)
+	s.disturbed(0, "%s was stopped and started", stopped.name)
+}
+
+func (s *site) freeze(frozen *daemon) {
+	s.disturbed(freezeSpan, "%s is frozen", frozen.name)
+	frozen.signal(syscall.SIGSTOP)
+	time.Sleep(freezeSpan)
+	frozen.signal(syscall.SIGCONT)
+}
+
+func (s *site) storeDown(*rand.Rand) {
+	s.disturbed(faultSpan, "the store is down")
+	s.store.SetDown(true)
+	time.Sleep(faultSpan)
+	s.store.SetDown(false)
+}
+
+func (s *site) disturbPaths(befallen []*daemon, state pathState) {
+	s.disturbed(faultSpan, "the path of %d daemons to the store is in state %d", len(befallen), state)
+	for _, held := range befallen {
+		held.path.set(state)
+	}
+	time.Sleep(faultSpan)
+	for _, held := range befallen {
+		held.path.set(pathWell)
+	}
+}
+
+// muteOpen makes all connections to the store silent for good.
+func (s *site) muteOpen(*rand.Rand) {
+	s.disturbed(0, "open connections to the store fall silent")
+	for _, held := range s.daemons {
+		held.path.muteOpen()
+	}
+}
+
+// moveRoute leads a route to another service, or back.
+func (s *site) moveRoute(random *rand.Rand) {
+	route, home := routeFeeds, serviceFeeds
+	if random.IntN(2) == 0 {
+		route, home = routeForms, serviceForms
+	}
+	s.mutex.Lock()
+	held := s.routes[route]
+	s.mutex.Unlock()
+	if held == home {
+		home = serviceOther
+	}
+	s.configure(s.leadsTo(route, home))
+}
+
+// dropRoute takes a route away for a while.
+func (s *site) dropRoute(*rand.Rand) {
+	s.configure(s.leadsTo(routeExtra, ""))
+	time.Sleep(faultSpan)
+	s.configure(s.leadsTo(routeExtra, serviceOther))
+}
+
+// withTarget does something to a target of a service that has others.
+func (s *site) withTarget(random *rand.Rand, do func(*target)) {
+	if chosen := s.chooseTarget(random); chosen != nil {
+		do(chosen)
+	}
+}
+
+func (s *site) chooseTarget(random *rand.Rand) *target {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	counts := map[string]int{}
+	var all []*target
+	for _, held := range s.targets {
+		counts[held.service]++
+		all = append(all, held)
+	}
+	all = slices.DeleteFunc(all, func(held *target) bool { return counts[held.service] < 3 })
+	if len(all) == 0 {
+		return nil
+	}
+	slices.SortFunc(all, func(a, b *target) int { return cmp.Compare(a.identifier, b.identifier) })
+	chosen := all[random.IntN(len(all))]
+	delete(s.targets, chosen.identifier)
+	return chosen
+}
+
+// reuse crashes a target and gives its address to a target of another service.
+func (s *site) reuse(random *rand.Rand) {
+	s.withTarget(random, func(crashed *target) {
+		s.crash(crashed)
+		other := map[string]string{serviceFeeds: serviceForms, serviceForms: serviceOther, serviceOther: serviceFeeds}[crashed.service]
+		time.Sleep(faultSpan)
+		s.started(s.addTargetAt(other, crashed.address))
+	})
+}
+
+func (s *site) started(_ *target, err error) {
+	if err != nil {
+		s.disturbed(0, "a target does not start: %s", err)
+	}
+}
--- /dev/null
+++ b/internal/lab/storelab/run.go
@@ -0,0 +1,133 @@
+package storelab
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Config is one run.
+type Config struct {
+	// Binary is the daemon's program, Directory where settings and logs go.
+	Binary    string
+	Directory string
+	Seed      uint64
+	Daemons   int
+	Zones     int
+	// Targets is how many of each service there are, Callers how many hosts call.
+	Targets int
+	Callers int
+	// Faults is how many are drawn, over Span; after them callers go on for Calm.
+	Faults int
+	Span   time.Duration
+	Calm   time.Duration
+	Bounds Bounds
+}
+
+// DefaultConfig is a small run of about half a minute.
+func DefaultConfig() Config {
+	return Config{
+		Daemons: 6, Zones: 3, Targets: 5, Callers: 12, Faults: 8,
+		Span: 14 * time.Second, Calm: 10 * time.Second,
+		Bounds: Bounds{Converge: 5 * time.Second, Leave: 5 * time.Second, Settle: 5 * time.Second, Recover: 6 * time.Second},
+	}
+}
+
+// Result is what became of a run.
+type Result struct {
+	Seed     uint64
+	Faults   []Fault
+	Verdicts []Verdict
+	Events   []Event
+}
+
+// Holds reports whether every invariant does.
+func (r *Result) Holds() bool {
+	for index := range r.Verdicts {
+		if len(r.Verdicts[index].Violations) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Count returns how many events of a kind there were.
+func (r *Result) Count(kind Kind) int {
+	count := 0
+	for index := range r.Events {
+		if r.Events[index].Kind == kind {
+			count++
+		}
+	}
+	return count
+}
+
+// callerStart is how long the daemons have before callers begin.
+const callerStart = 1500 * time.Millisecond
+
+// Run plays one seed.
+func Run(ctx context.Context, config Config) (*Result, error) {
+	directory, err := os.MkdirTemp(config.Directory, "seed-*")
+	if err != nil {
+		return nil, eris.Wrap(err, "directory")
+	}
+	played, err := newSite(config, directory)
+	if err != nil {
+		return nil, err
+	}
+	defer played.close()
+	calling, stop := context.WithCancel(ctx)
+	defer stop()
+	go played.router.watch(calling)
+	rest(ctx, callerStart)
+	var waiting sync.WaitGroup
+	played.call(calling, &waiting)
+	faults := Faults(config.Seed, config.Faults, config.Span)
+	played.befall(ctx, faults)
+	rest(ctx, config.Bounds.Recover+config.Calm)
+	stop()
+	waiting.Wait()
+	events := played.recorder.Events()
+	return &Result{Seed: config.Seed, Faults: faults, Verdicts: Check(config.Bounds, events), Events: events}, ctx.Err()
+}
+
+// call lets every caller use flows in each of four ways.
+func (s *site) call(ctx context.Context, waiting *sync.WaitGroup) {
+	habits := []habit{
+		{route: routeFeeds, mayRepeat: true, perFlow: 1000, pause: 300 * time.Millisecond},
+		{route: routeForms, perFlow: 1000, pause: 3 * time.Second},
+		{route: routeForms, perFlow: 1, pause: 300 * time.Millisecond},
+		{route: routeExtra, mayRepeat: true, perFlow: 20, pause: 500 * time.Millisecond},
+	}
+	for index, used := range s.callers {
+		for number, way := range habits {
+			waiting.Add(1)
+			go func() {
+				defer waiting.Done()
+				used.run(ctx, way, rand.New(rand.NewPCG(s.config.Seed, uint64(index*len(habits)+number))))
+			}()
+		}
+	}
+}
+
+// befall makes faults happen at their times and returns when all are over.
+func (s *site) befall(ctx context.Context, faults []Fault) {
+	began := time.Now()
+	var waiting sync.WaitGroup
+	for _, fault := range faults {
+		rest(ctx, time.Until(began.Add(fault.At)))
+		if ctx.Err() != nil {
+			break
+		}
+		waiting.Add(1)
+		go func() {
+			defer waiting.Done()
+			actions[fault.Do](s, rand.New(rand.NewPCG(fault.Draw, 1)))
+		}()
+	}
+	waiting.Wait()
+}
--- /dev/null
+++ b/internal/lab/storelab/site.go
@@ -0,0 +1,283 @@
+package storelab
+
+import (
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/passtray/passtray/internal/followed"
+	"github.com/passtray/passtray/internal/lab/environment"
+	"github.com/passtray/passtray/platform"
+)
+
+// Ports and hosts of a run's parts on loopback. Every run has a network of its own, by its
+// process and seed.
+const (
+	portControl   = 7000
+	portTelemetry = 7002
+	portData      = 9443
+	portStore     = 8080
+
+	netDaemons = 1
+	netTargets = 2
+	netCallers = 3
+	netProxies = 4
+	netStore   = 5
+)
+
+// The services of a site, and the addresses that lead to them.
+const (
+	serviceFeeds = "feeds"
+	serviceForms = "forms"
+	serviceOther = "other"
+)
+
+var (
+	routeFeeds = netip.MustParseAddrPort("198.18.0.1:443")
+	routeForms = netip.MustParseAddrPort("198.18.0.2:443")
+	routeExtra = netip.MustParseAddrPort("198.18.0.3:443")
+)
+
+// retireAfter is how long after its entry said that it leaves a target ends: longer than it
+// may get new flows.
+const retireAfter = time.Second
+
+// site is the surroundings of a fleet, with its daemons.
+type site struct {
+	config   Config
+	second   byte
+	recorder *Recorder
+	store    *environment.Store
+	server   *http.Server
+	daemons  []*daemon
+	router   *router
+	callers  []*caller
+
+	mutex      sync.Mutex
+	routes     map[netip.AddrPort]string
+	version    uint64
+	targets    map[uint64]*target
+	identifier uint64
+	host       int
+	numbers    atomic.Uint64
+}
+
+func newSite(config Config, directory string) (*site, error) {
+	made := &site{
+		config: config, second: 16 + byte((uint64(os.Getpid())*31+config.Seed)%200), recorder: NewRecorder(),
+		store: environment.NewStore(), routes: map[netip.AddrPort]string{}, targets: map[uint64]*target{},
+		identifier: 0x1000000000,
+	}
+	listener, err := net.Listen("tcp4", made.at(netStore, 1, portStore).String())
+	if err != nil {
+		return nil, eris.Wrap(err, "store")
+	}
+	made.server = &http.Server{Handler: platform.Handler(made.store), ReadHeaderTimeout: requestBound}
+	go func() { _ = made.server.Serve(listener) }() // ends with close
+	for _, open := range []func() error{
+		func() error { return made.addDaemons(directory) }, made.addRouter, made.addCallers, made.addTargets,
+	} {
+		if err := open(); err != nil {
+			made.close()
+			return nil, err
+		}
+	}
+	return made, nil
+}
+
+func (s *site) at(network byte, host int, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, s.second, network, byte(host)}), port)
+}
+
+func (s *site) zone(index int) string { return fmt.Sprint("zone-", index%s.config.Zones) }
+
+func (s *site) addDaemons(directory string) error {
+	for index := range s.config.Daemons {
+		path, err := startProxy(s.at(netProxies, index+1, portStore), s.at(netStore, 1, portStore))
+		if err != nil {
+			return eris.Wrap(err, "proxy")
+		}
+		plan := &daemonPlan{
+			name: fmt.Sprint("daemon-", index), zone: s.zone(index), bounds: s.config.Bounds,
+			control: s.at(netDaemons, index+1, portControl), telemetry: s.at(netDaemons, index+1, portTelemetry),
+			data: s.at(netDaemons, index+1, portData), store: s.at(netProxies, index+1, portStore),
+		}
+		for seed := range min(3, s.config.Daemons) {
+			plan.seeds = append(plan.seeds, s.at(netDaemons, seed+1, portControl))
+		}
+		made, err := newDaemon(s.config.Binary, directory, plan, path)
+		if err != nil {
+			return eris.Wrap(err, plan.name)
+		}
+		if err := made.start(); err != nil {
+			return eris.Wrap(err, plan.name)
+		}
+		s.daemons = append(s.daemons, made)
+	}
+	return nil
+}
+
+func (s *site) addRouter() error {
+	socket, err := listenUDP(s.at(netStore, 2, 0))
+	if err != nil {
+		return eris.Wrap(err, "router")
+	}
+	s.router = &router{socket: socket}
+	for index := range s.daemons {
+		ready := "http://" + s.at(netDaemons, index+1, portTelemetry).String() + readyPath
+		s.router.daemons = append(s.router.daemons, routedDaemon{data: s.at(netDaemons, index+1, portData), ready: ready})
+	}
+	return nil
+}
+
+func (s *site) addCallers() error {
+	daemons := s.at(netDaemons, 0, 0).Addr().As4()
+	for index := range s.config.Callers {
+		address := s.at(netCallers, index+1, portData)
+		socket, err := listenUDP(address)
+		if err != nil {
+			return eris.Wrap(err, "caller")
+		}
+		made := &caller{
+			socket: socket, address: address.Addr(), recorder: s.recorder, numbers: &s.numbers,
+			isDaemon: func(from netip.AddrPort) bool { four := from.Addr().As4(); return four[2] == daemons[2] },
+			forward:  s.router.forward, flows: map[Flow]chan received{},
+		}
+		go made.receive()
+		s.callers = append(s.callers, made)
+	}
+	return nil
+}
+
+func (s *site) addTargets() error {
+	for _, service := range []string{serviceFeeds, serviceForms, serviceOther} {
+		for range s.config.Targets {
+			if _, err := s.addTarget(service); err != nil {
+				return err
+			}
+		}
+	}
+	s.configure(map[netip.AddrPort]string{routeFeeds: serviceFeeds, routeForms: serviceForms, routeExtra: serviceOther})
+	return nil
+}
+
+// addTarget starts a target at an address of its own.
+func (s *site) addTarget(service string) (*target, error) {
+	s.host++
+	return s.addTargetAt(service, s.at(netTargets, s.host, 5000))
+}
+
+func (s *site) addTargetAt(service string, address netip.AddrPort) (*target, error) {
+	s.identifier += 0x1234567
+	started, err := startTarget(s.identifier, service, address, portData, s.recorder)
+	if err != nil {
+		return nil, eris.Wrap(err, "target")
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.targets[started.identifier] = started
+	s.put(started, false)
+	return started, nil
+}
+
+func (s *site) put(described *target, isDraining bool) {
+	s.store.Put(followed.Entry{Key: platform.TargetKey(described.identifier), Target: &followed.Target{
+		Identifier: described.identifier, Service: described.service, Address: described.address,
+		Zone: s.zone(int(described.identifier % 3)), Slots: 2, Draining: isDraining,
+	}})
+}
+
+// configure has the store take a configuration.
+func (s *site) configure(routes map[netip.AddrPort]string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.version += 3
+	configuration := &followed.Configuration{Version: s.version, IdleTimeout: time.Minute}
+	for _, address := range slices.SortedFunc(maps.Keys(routes), netip.AddrPort.Compare) {
+		configuration.Routes = append(configuration.Routes, followed.Route{
+			Name: address.String(), Address: address, Timeout: requestBound, Objective: requestBound / 4,
+			Backends: []followed.Backend{{Service: routes[address], Weight: 1000}},
+		})
+		if s.routes[address] != routes[address] {
+			s.recorder.Note(Event{Kind: RouteAllowed, Flow: Flow{Route: address}, Service: routes[address]})
+		}
+	}
+	for _, service := range []string{serviceFeeds, serviceForms, serviceOther} {
+		configuration.Services = append(configuration.Services, followed.Service{Name: service, MaximumFlows: 2000})
+	}
+	s.store.Put(followed.Entry{Key: platform.ConfigurationKey, Configuration: configuration})
+	for address, service := range s.routes {
+		if routes[address] != service {
+			s.recorder.Note(Event{Kind: RouteForbidden, Flow: Flow{Route: address}, Service: service})
+		}
+	}
+	s.routes = routes
+}
+
+// leadsTo returns the routes as they are, with one of them changed; an empty service drops it.
+func (s *site) leadsTo(route netip.AddrPort, service string) map[netip.AddrPort]string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	routes := maps.Clone(s.routes)
+	routes[route] = service
+	if service == "" {
+		delete(routes, route)
+	}
+	return routes
+}
+
+// drain has a target say that it leaves, serve on and end.
+func (s *site) drain(leaving *target) {
+	s.mutex.Lock()
+	s.put(leaving, true)
+	s.mutex.Unlock()
+	s.recorder.Note(Event{Kind: TargetLeaving, Target: leaving.identifier})
+	time.AfterFunc(s.config.Bounds.Leave+retireAfter, func() { s.end(leaving) })
+}
+
+// crash ends a target at once; its entry goes after three heartbeats.
+func (s *site) crash(crashed *target) {
+	crashed.end()
+	time.AfterFunc(entryLifetime, func() { s.remove(crashed) })
+}
+
+func (s *site) end(ended *target) {
+	ended.end()
+	s.remove(ended)
+}
+
+func (s *site) remove(removed *target) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.targets, removed.identifier)
+	s.store.Put(followed.Entry{Key: platform.TargetKey(removed.identifier)})
+	s.recorder.Note(Event{Kind: TargetLeaving, Target: removed.identifier})
+}
+
+func (s *site) close() {
+	for _, running := range s.daemons {
+		running.close()
+	}
+	if s.router != nil {
+		_ = s.router.socket.Close()
+	}
+	for _, calling := range s.callers {
+		_ = calling.socket.Close()
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, running := range s.targets {
+		_ = running.socket.Close()
+		_ = running.listener.Close()
+	}
+	_ = s.server.Close()
+}
--- /dev/null
+++ b/internal/lab/storelab/target.go
@@ -0,0 +1,150 @@
+package storelab
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/passtray/passtray/internal/steering/token"
+	"github.com/passtray/passtray/platform"
+)
+
+// firstSequence is the number of the first byte that a target writes on a flow.
+const firstSequence = 5000
+
+// target is one run of a back end: a socket for flows and a listener that its health is
+// asked at.
+type target struct {
+	identifier uint64
+	service    string
+	address    netip.AddrPort
+	callerPort uint16
+	recorder   *Recorder
+	socket     *net.UDPConn
+	listener   net.Listener
+
+	mutex sync.Mutex
+	flows map[Flow]*targetFlow
+}
+
+// targetFlow is a flow at a target.
+type targetFlow struct {
+	// token is the last one that came on the flow; the target repeats it.
+	token  uint32
+	isOpen bool
+	// received is up to where the target has the caller's data, sent the same of its own.
+	received, sent uint32
+	// answer is the last one, to be sent again; empty while the target works on it.
+	answer []byte
+}
+
+func startTarget(identifier uint64, service string, address netip.AddrPort, callerPort uint16, recorder *Recorder) (*target, error) {
+	socket, err := listenUDP(address)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		_ = socket.Close()
+		return nil, err
+	}
+	started := &target{
+		identifier: identifier, service: service, address: address, callerPort: callerPort, recorder: recorder,
+		socket: socket, listener: listener, flows: map[Flow]*targetFlow{},
+	}
+	recorder.Note(Event{Kind: TargetStarted, Target: identifier, Service: service})
+	go receive(socket, func(_ netip.AddrPort, datagram []byte) { started.take(datagram) })
+	go started.accept()
+	return started, nil
+}
+
+// accept closes what connects at once: all that is asked is whether anybody listens.
+func (t *target) accept() {
+	for {
+		connection, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		_ = connection.Close()
+	}
+}
+
+// end stops the target, as a crash does.
+func (t *target) end() {
+	t.recorder.Note(Event{Kind: TargetEnded, Target: t.identifier})
+	_ = t.socket.Close()
+	_ = t.listener.Close()
+}
+
+func (t *target) take(datagram []byte) {
+	codec := platform.PacketCodec{}
+	meant, datagram, ok := codec.Meant(datagram)
+	var packet token.Packet
+	if !ok || meant != 0 && meant != t.identifier || !codec.Parse(datagram, &packet) {
+		return
+	}
+	name := Flow{Caller: packet.Source, Route: packet.Destination}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	flow := t.flows[name]
+	switch {
+	case packet.IsOpening:
+		t.open(name, flow, &packet)
+	case flow == nil:
+		t.send(name, token.Packet{IsReset: true, Sequence: packet.Acknowledgement}, nil)
+	case packet.IsReset || packet.IsClosing:
+		delete(t.flows, name)
+	default:
+		t.takeData(name, flow, &packet, datagram[len(datagram)-packet.PayloadLength:])
+	}
+}
+
+func (t *target) open(name Flow, flow *targetFlow, packet *token.Packet) {
+	if flow == nil {
+		flow = &targetFlow{received: packet.Sequence + 1, sent: firstSequence + 1}
+		t.flows[name] = flow
+		t.recorder.Note(Event{Kind: OpeningTaken, Flow: name, Target: t.identifier, Service: t.service})
+	}
+	flow.token = packet.Token
+	t.send(name, token.Packet{IsOpening: true, IsAnswer: true, Token: flow.token, Sequence: firstSequence, Acknowledgement: flow.received}, nil)
+}
+
+func (t *target) takeData(name Flow, flow *targetFlow, packet *token.Packet, payload []byte) {
+	flow.token = packet.Token
+	if !flow.isOpen {
+		if packet.Acknowledgement != firstSequence+1 {
+			return // it acknowledges another target's answer
+		}
+		flow.isOpen = true
+		t.recorder.Note(Event{Kind: FlowOpened, Flow: name, Target: t.identifier, Service: t.service})
+	}
+	if packet.PayloadLength == 0 {
+		return
+	}
+	request, ok := decodeRequest(payload)
+	isNew := packet.Sequence == flow.received
+	if ok && isNew {
+		flow.received += uint32(len(payload))
+		flow.sent = packet.Acknowledgement
+		flow.answer = nil
+		t.recorder.Note(Event{Kind: RequestRan, Flow: name, Target: t.identifier, Request: request.number})
+		time.AfterFunc(time.Duration(request.work)*time.Millisecond, func() { t.finish(name, flow, request) })
+	}
+	t.send(name, token.Packet{Token: flow.token, Sequence: flow.sent, Acknowledgement: flow.received}, flow.answer)
+}
+
+// finish answers a request that was worked on.
+func (t *target) finish(name Flow, flow *targetFlow, request requestMessage) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	flow.answer = answerMessage{number: request.number, target: t.identifier}.encode()
+	t.send(name, token.Packet{Token: flow.token, Sequence: flow.sent, Acknowledgement: flow.received}, flow.answer)
+}
+
+// send writes to a flow's caller, past the daemons.
+func (t *target) send(name Flow, packet token.Packet, payload []byte) {
+	packet.Source, packet.Destination = name.Route, name.Caller
+	datagram := platform.PacketCodec{}.Write(&packet, payload)
+	_, _ = t.socket.WriteToUDPAddrPort(datagram, netip.AddrPortFrom(name.Caller.Addr(), t.callerPort)) // a loss, as on any network
+}
