Lab: planned work in the calm closes every schedule of the store's soak

Cause: with eight faults in 14 s bounds of time hardly ever held, so that two invariants had nothing to look at and open flows after a change of routes were not seen. Change: after the last fault a route moves, a target leaves and every daemon is replaced; a planned stop is no fault any more, as nothing may be lost by it. Daemons that were replaced do not know where the route led before, and meet its open flows with silence.

--- a/internal/lab/storelab/check.go
+++ b/internal/lab/storelab/check.go
@@ -96,8 +96,10 @@
 		j.forbiddenAt[pair{event.Flow.Route, event.Service}] = -1
 	case RouteForbidden:
 		j.forbiddenAt[pair{event.Flow.Route, event.Service}] = event.At
+		j.count(OldVersion, event)
 	case TargetLeaving:
 		j.leavingAt[event.Target] = event.At
+		j.count(LeavingTarget, event)
 	case TargetEnded:
 		j.endedAt[event.Target] = event.At
 	case Disturbed:
@@ -123,6 +125,13 @@
 // isCalm reports whether bounds of time hold at an event.
 func (j *judge) isCalm(event *Event) bool { return event.At >= j.calmFrom+j.bounds.Settle }
 
+// count notes that an invariant of time has something to look at: a change in the calm.
+func (j *judge) count(invariant string, event *Event) {
+	if j.isCalm(event) {
+		j.verdicts[invariant].Checked++
+	}
+}
+
 func (j *judge) checkOpening(event *Event) {
 	foreign, old, leaving := j.verdicts[ForeignService], j.verdicts[OldVersion], j.verdicts[LeavingTarget]
 	foreign.Checked++
@@ -132,13 +141,11 @@
 		return
 	}
 	if forbiddenAt >= 0 && j.isCalm(event) {
-		old.Checked++
 		if late := event.At - event.Span - forbiddenAt; late > j.bounds.Converge {
 			old.violate(event, "%s got a flow to %s %s after it left the route", event.Service, event.Flow.Route, late)
 		}
 	}
 	if leavingAt, leaves := j.leavingAt[event.Target]; leaves && j.isCalm(event) {
-		leaving.Checked++
 		if late := event.At - leavingAt; late > j.bounds.Leave {
 			leaving.violate(event, "%x got a flow %s after it began to leave", event.Target, late)
 		}
--- a/internal/lab/storelab/fault.go
+++ b/internal/lab/storelab/fault.go
@@ -37,15 +37,11 @@
 
 // actions are what faults do, by name.
 var actions = map[string]func(s *site, random *rand.Rand){
-	"kill": func(s *site, random *rand.Rand) { s.killSome(random, 1) },
-	"herd": func(s *site, random *rand.Rand) { s.killSome(random, max(1, len(s.daemons)*2/3)) },
-	"all":  func(s *site, random *rand.Rand) { s.killSome(random, len(s.daemons)) },
-	"stop": func(s *site, random *rand.Rand) { s.stop(s.daemons[random.IntN(len(s.daemons))]) },
-	"roll": func(s *site, _ *rand.Rand) {
-		for _, stopped := range s.daemons {
-			s.stop(stopped)
-		}
-	},
+	"kill":            func(s *site, random *rand.Rand) { s.killSome(random, 1) },
+	"herd":            func(s *site, random *rand.Rand) { s.killSome(random, max(1, len(s.daemons)*2/3)) },
+	"all":             func(s *site, random *rand.Rand) { s.killSome(random, len(s.daemons)) },
+	"stop":            func(s *site, random *rand.Rand) { s.stop(s.daemons[random.IntN(len(s.daemons))]) },
+	"roll":            func(s *site, _ *rand.Rand) { s.roll() },
 	"freeze":          func(s *site, random *rand.Rand) { s.freeze(s.daemons[random.IntN(len(s.daemons))]) },
 	"store-down":      (*site).storeDown,
 	"store-silent":    func(s *site, _ *rand.Rand) { s.disturbPaths(s.daemons, pathSilent) },
@@ -114,12 +110,18 @@
 	}
 }
 
-// stop ends a daemon as planned, and starts it again.
+// stop ends a daemon as planned, and starts it again. That is no fault: nothing may be lost.
 func (s *site) stop(stopped *daemon) {
 	stopped.signal(syscall.SIGTERM)
 	stopped.wait()
 	s.startAgain(stopped)
-	s.disturbed(0, "%s was stopped and started", stopped.name)
+}
+
+// roll stops and starts every daemon, one after the other.
+func (s *site) roll() {
+	for _, stopped := range s.daemons {
+		s.stop(stopped)
+	}
 }
 
 func (s *site) freeze(frozen *daemon) {
--- a/internal/lab/storelab/run.go
+++ b/internal/lab/storelab/run.go
@@ -21,18 +21,19 @@
 	// Targets is how many of each service there are, Callers how many hosts call.
 	Targets int
 	Callers int
-	// Faults is how many are drawn, over Span; after them callers go on for Calm.
+	// Faults is how many are drawn, over Span; after them and the planned work that follows
+	// callers go on for Calm.
 	Faults int
 	Span   time.Duration
 	Calm   time.Duration
 	Bounds Bounds
 }
 
-// DefaultConfig is a small run of about half a minute.
+// DefaultConfig is a small run of about a minute.
 func DefaultConfig() Config {
 	return Config{
 		Daemons: 6, Zones: 3, Targets: 5, Callers: 12, Faults: 8,
-		Span: 14 * time.Second, Calm: 10 * time.Second,
+		Span: 14 * time.Second, Calm: 7 * time.Second,
 		Bounds: Bounds{Converge: 5 * time.Second, Leave: 5 * time.Second, Settle: 5 * time.Second, Answer: 2500 * time.Millisecond, Recover: 6 * time.Second},
 	}
 }
@@ -88,7 +89,9 @@
 	played.call(calling, &waiting)
 	faults := Faults(config.Seed, config.Faults, config.Span)
 	played.befall(ctx, faults)
-	rest(ctx, config.Bounds.Recover+config.Calm)
+	rest(ctx, config.Bounds.Recover)
+	played.plan(ctx)
+	rest(ctx, config.Calm)
 	stop()
 	waiting.Wait()
 	events := played.recorder.Events()
@@ -114,6 +117,17 @@
 	}
 }
 
+// plan does what operators do while all is well: a route moves, a target leaves, and every
+// daemon is replaced, which then knows nothing of where the route led before.
+func (s *site) plan(ctx context.Context) {
+	random := rand.New(rand.NewPCG(s.config.Seed, 2))
+	s.moveRoute(random)
+	s.withTarget(random, s.drain)
+	if ctx.Err() == nil {
+		s.roll()
+	}
+}
+
 // befall makes faults happen at their times and returns when all are over.
 func (s *site) befall(ctx context.Context, faults []Fault) {
 	began := time.Now()
