Lab: a flow opened while its route was dropped is no living one

Traced with the logs of the daemon that reset one: it was behind, opened the flow at 11.004 s under the version from before the drop (accepted at 9.6 s), took the drop in and reset the flow at 12.484 s; the route was listed again only at 12.6 s. The times of faults count from the callers' start, those of events 1.5 s earlier, which hid it. So the check was wrong, and a reset was due. Change: a flow is living if its route has been listed without a gap since it opened, as the store took it; a test has both cases.

--- a/internal/lab/storelab/check.go
+++ b/internal/lab/storelab/check.go
@@ -61,11 +61,12 @@
 	forbiddenAt map[pair]time.Duration
 	leavingAt   map[uint64]time.Duration
 	endedAt     map[uint64]time.Duration
-	// droppedAt is when a route was last taken away.
-	droppedAt map[netip.AddrPort]time.Duration
-	open      map[Flow]Event
-	sent      map[uint64]Event
-	ran       map[uint64][]uint64
+	// listedSince is from when on a route has led somewhere all the time; routes that lead
+	// nowhere are not in it.
+	listedSince map[netip.AddrPort]time.Duration
+	open        map[Flow]Event
+	sent        map[uint64]Event
+	ran         map[uint64][]uint64
 	// calmFrom is when the last fault was over.
 	calmFrom time.Duration
 }
@@ -75,7 +76,7 @@
 	j := &judge{
 		bounds: bounds, verdicts: map[string]*Verdict{},
 		forbiddenAt: map[pair]time.Duration{}, leavingAt: map[uint64]time.Duration{}, endedAt: map[uint64]time.Duration{},
-		droppedAt: map[netip.AddrPort]time.Duration{}, open: map[Flow]Event{}, sent: map[uint64]Event{}, ran: map[uint64][]uint64{},
+		listedSince: map[netip.AddrPort]time.Duration{}, open: map[Flow]Event{}, sent: map[uint64]Event{}, ran: map[uint64][]uint64{},
 	}
 	names := []string{ForeignService, OldVersion, LeavingTarget, LivingFlow, LivingAnswer, WholeAnswer, AtMostOnce, ServedAfterward}
 	for _, name := range names {
@@ -95,12 +96,15 @@
 func (j *judge) take(event *Event) {
 	switch event.Kind {
 	case RouteAllowed:
+		if !j.leadsSomewhere(event.Flow.Route) {
+			j.listedSince[event.Flow.Route] = event.At
+		}
 		j.forbiddenAt[pair{event.Flow.Route, event.Service}] = -1
 	case RouteForbidden:
 		j.forbiddenAt[pair{event.Flow.Route, event.Service}] = event.At
 		j.count(OldVersion, event)
 		if !j.leadsSomewhere(event.Flow.Route) {
-			j.droppedAt[event.Flow.Route] = event.At
+			delete(j.listedSince, event.Flow.Route)
 		}
 	case TargetLeaving:
 		j.leavingAt[event.Target] = event.At
@@ -171,12 +175,12 @@
 	}
 }
 
-// isLiving reports whether an open flow's target lives and its route has not been dropped
-// since the flow was opened.
+// isLiving reports whether an open flow's target lives and its route has stood since the flow
+// was opened. A daemon that is behind opens flows on a route that was dropped already.
 func (j *judge) isLiving(opened *Event) bool {
 	_, hasEnded := j.endedAt[opened.Target]
-	droppedAt, wasDropped := j.droppedAt[opened.Flow.Route]
-	return !hasEnded && (!wasDropped || droppedAt < opened.At)
+	since, isListed := j.listedSince[opened.Flow.Route]
+	return !hasEnded && isListed && since <= opened.At
 }
 
 func (j *judge) leadsSomewhere(route netip.AddrPort) bool {
--- a/internal/lab/storelab/check_test.go
+++ b/internal/lab/storelab/check_test.go
@@ -89,6 +89,26 @@
 	})
 }
 
+// TestFlowsOfADroppedRouteMayBeReset: those that were open, and those that a daemon which was
+// behind opened since. A flow that was opened after the route came back may not.
+func TestFlowsOfADroppedRouteMayBeReset(t *testing.T) {
+	events := append(
+		goodRun(),
+		Event{At: 50 * time.Second, Kind: RouteForbidden, Flow: Flow{Route: testRoute}, Service: "b"},
+		Event{At: 51 * time.Second, Kind: FlowOpened, Flow: testFlow, Target: 4, Service: "b"},
+		Event{At: 52 * time.Second, Kind: FlowReset, Flow: testFlow},
+		Event{At: 53 * time.Second, Kind: RouteAllowed, Flow: Flow{Route: testRoute}, Service: "b"},
+		Event{At: 54 * time.Second, Kind: FlowReset, Flow: testFlow},
+	)
+	assert.Equal(t, len(broken(t, events)), 0)
+	events = append(
+		events,
+		Event{At: 55 * time.Second, Kind: FlowOpened, Flow: testFlow, Target: 4, Service: "b"},
+		Event{At: 56 * time.Second, Kind: FlowReset, Flow: testFlow},
+	)
+	assert.DeepEqual(t, broken(t, events), []string{LivingFlow})
+}
+
 func TestBoundsOfTimeWaitForAFaultsEnd(t *testing.T) {
 	events := append(
 		goodRun(),
