Token: words bound to the address of their flow, in place of a memory of services

Cause: whether a token was followed depended on which services this process had seen behind the route. A daemon that was restarted, joined or lost power had seen none, so that after a change of routes it dropped each open flow of before (foreign_service) till its caller's deadline. Ruled out: a kind of entry that tells peers of routes before (nobody is left to tell it after a loss of all power, and versions that the store passes over are missing from it); following any known token (a word of another route would be followed, too). Change: what stands in packets is the target's token XOR a fingerprint of the address and port that the caller sent to. A word that names a target proves that the flow was opened there. The memory of services and the reason foreign_service are gone: with a full memory the check would still drop flows of a version that this daemon passed over. Word 0 stays "none" on the wire. Tests: a foreign token is now one that names nobody; its tests are replaced by words of other addresses, also of the same service, which is stricter. That a flow is dropped once its service left the route for the retention is no longer so, and its test says the opposite. In a lapse a word of elsewhere waits as any unknown one does.

--- /dev/null
+++ b/internal/steering/token/binding_test.go
@@ -0,0 +1,68 @@
+package token
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/passtray/passtray/internal/followed"
+)
+
+func TestEveryTokenHasAWordOfItsOwn(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 10_000 {
+		bound := binding(max(1, random.Uint32()))
+		for _, token := range []uint32{1, uint32(bound), ^uint32(bound), max(1, random.Uint32())} {
+			word := bound.word(token)
+			assert.Assert(t, word != 0, "0 stands for no word")
+			assert.Equal(t, bound.token(word), token)
+		}
+		assert.Equal(t, bound.token(0), uint32(0))
+	}
+}
+
+// TestBindingsAreTheSameInEveryVersion: daemons of two builds follow each other's flows.
+func TestBindingsAreTheSameInEveryVersion(t *testing.T) {
+	assert.Equal(t, bindingOf(rosterAddress), binding(0x019a134a))
+	assert.Equal(t, bindingOf(netip.AddrPortFrom(netip.AddrFrom16(rosterAddress.Addr().As16()), 443)), bindingOf(rosterAddress))
+}
+
+// TestADaemonWithoutMemoryFollowsWhatWasOpenedBefore: the route led to another service
+// when the flow was opened, and this daemon was started after that.
+func TestADaemonWithoutMemoryFollowsWhatWasOpenedBefore(t *testing.T) {
+	before, restarted := newSite(t), newSite(t)
+	opened := before.open(rosterAddress, 1)
+	toLedger := followed.Route{Address: rosterAddress, Backends: []followed.Backend{{Service: "ledger", Weight: 1}}}
+	restarted.configure(toLedger)
+	restarted.builder = NewBuilder(time.Minute)
+	restarted.configure(toLedger)
+	decision := restarted.followWord(rosterAddress, 1, opened.Word())
+	assert.Equal(t, decision.Action, Forward)
+	assert.Equal(t, decision.Target.Identifier, opened.Target.Identifier)
+}
+
+// TestAWordOfAnotherAddressNamesNobody, even where the same service stands behind both
+// routes, and neither does a bare token.
+func TestAWordOfAnotherAddressNamesNobody(t *testing.T) {
+	site := newSite(t)
+	for _, word := range []uint32{WordAt(rosterAddress, 100), WordAt(rosterAddress, 200), Of(100), Of(200)} {
+		decision := site.followWord(bothAddress, 1, word)
+		assert.Equal(t, decision.Action, Drop)
+		assert.Equal(t, decision.Reason, ReasonUnknownToken)
+	}
+}
+
+// BenchmarkFollow decides for a packet of an open flow.
+func BenchmarkFollow(b *testing.B) {
+	site := newLargeSite(1000, 1000)
+	packet := &Packet{Source: caller(1), Destination: rosterAddress, Token: WordAt(rosterAddress, 1000)}
+	b.ReportAllocs()
+	for b.Loop() {
+		if site.table.Follow(site.now, packet).Action != Forward {
+			b.Fatal("a known word")
+		}
+	}
+}
--- a/internal/steering/token/builder.go
+++ b/internal/steering/token/builder.go
@@ -9,7 +9,7 @@
 )
 
 // Builder makes tables and keeps what must outlive one: signals of targets,
-// numbers of routes, and the services and routes that were.
+// numbers of routes, and the routes that were.
 type Builder struct {
 	signals map[uint64]*balance.Signal
 	routes  routeBuilder
