Token: flows of dropped routes are reset on the store's word, without a memory of the route

Cause: a daemon that was restarted knew of no dropped route and met its open flows with silence. Change: a packet to an address without a route whose word names a known target there is noted by flow. The flow is reset once the store has confirmed a view without the route, by 1 s or more after a moment at which the flow was open: when its data came here under the route, else its first packet here. 1,024 flows at most, forgotten after 2 s without a packet. The reason is unconfirmed_route, the reset's dropped_route. A route that comes back has a new number, so that its flows are not taken for those of before; credits begin anew. Tests: that a dropped route's flows are refused at once is replaced by that they are with their next packet if their data came here a second before, and otherwise not before a confirmation; how long it is remembered is read from the decision. In the flow model a reset counts as wrong if the route stood since the flow was begun, instead of if it stands: flows that were open when it was dropped may be reset although it came back. Bounds do not hold for daemons that the new schedule cuts off from all. New: schedules of changes of routes crossed with restarts, losses of all power, cuts, pauses, a store away or without history, addresses used again and words of elsewhere; each check finds its broken double.

--- /dev/null
+++ b/internal/node/followed_unrouted.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"time"
+
+	"github.com/passtray/passtray/internal/steering/token"
+)
+
+// resetDropped resets the flows whose route was dropped, as the store has confirmed of the
+// table at a time. Only the control loop calls it, with a table of all that it confirmed.
+func (p *tokenPlane) resetDropped(now, confirmedAt time.Time) {
+	table := p.table.Load()
+	if table == nil {
+		return
+	}
+	p.mutex.Lock()
+	dropped := p.unrouted.TakeDropped(now, confirmedAt, table)
+	p.mutex.Unlock()
+	decision := token.Decision{Action: token.Refuse, Reason: token.ReasonDroppedRoute}
+	for index := range dropped {
+		p.explainer.explain(table, &dropped[index], &decision, p.confirmedUntil.Load())
+		p.sendReset(p.releaser, &dropped[index], decision.Reason, p.codec.Reset(&dropped[index]))
+	}
+	p.releaser.Flush()
+}
--- /dev/null
+++ b/internal/node/followed_unrouted_test.go
@@ -0,0 +1,34 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/passtray/passtray/internal/followed"
+	"github.com/passtray/passtray/internal/steering/token"
+)
+
+// TestADaemonThatNeverKnewARouteResetsItsFlows once the store has confirmed that it is
+// gone, and says so. A packet with a word of nobody gets no answer.
+func TestADaemonThatNeverKnewARouteResetsItsFlows(t *testing.T) {
+	site := newFollowedSite(t)
+	site.store.Put(followed.Entry{Key: "config", Configuration: &followed.Configuration{
+		Version: 2, Services: []followed.Service{{Name: "s"}},
+	}})
+	site.putTarget()
+	lines := &logLines{}
+	node := site.start(t, 0, site.store, lines.logger())
+	waitFor(t, "readiness", func() bool { return node.Ready() == "" })
+	counters := node.plane.counters
+	site.send(t, 0, token.Of(77), wordOthers)
+	waitFor(t, "a drop", func() bool { return counters.dropped[token.ReasonNoRoute].Load() == 1 })
+	site.send(t, 0, token.WordAt(followedRoute, 77), wordOthers)
+	waitFor(t, "a packet that waits for a confirmation", func() bool { return counters.dropped[token.ReasonUnconfirmedRoute].Load() == 1 })
+	assert.Equal(t, counters.refused[token.ReasonDroppedRoute].Load(), uint64(0))
+	node.enqueue(func(now time.Time) { node.plane.resetDropped(now, now.Add(time.Hour)) })
+	assert.Equal(t, receive(t, site.caller)[16], byte(wordReset))
+	assert.Equal(t, counters.refused[token.ReasonDroppedRoute].Load(), uint64(1))
+	assert.Assert(t, lines.contains("dropped_route"))
+}
--- a/internal/simulation/flows_checks.go
+++ b/internal/simulation/flows_checks.go
@@ -1,7 +1,6 @@
 package simulation
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/passtray/passtray/internal/steering/token"
@@ -11,27 +10,38 @@
 // living target it may come only where the route is gone.
 func (m *FlowModel) refused(flow *Flow, reason token.Reason) {
 	isOpen := flow.Opened && !flow.Ended && flow.Target.answersCallers() && !m.Frozen[flow.Target]
-	if isOpen && m.leadsSomewhere(flow.Route) {
+	if isOpen && m.hasStood(flow) {
 		m.violate("FLOW: an open flow to %s was reset: %s", flow.Target.Key, reason)
 	}
+	if isOpen && reason == token.ReasonDroppedRoute {
+		m.Resets++
+	}
 	if flow.Opened && !flow.Ended && !flow.askedAt.IsZero() {
 		m.Waits = append(m.Waits, m.Clock.Now().Sub(flow.askedAt))
 	}
 	flow.Ended = true
 }
 
-func (m *FlowModel) leadsSomewhere(route netip.AddrPort) bool {
-	for _, allowed := range m.allowed[route] {
-		if allowed.until.IsZero() {
-			return true
-		}
+// hasStood reports whether a flow's address has had a route since the flow was begun.
+func (m *FlowModel) hasStood(flow *Flow) bool {
+	since, isListed := m.listedSince[flow.Route]
+	return isListed && !since.After(flow.BegunAt)
+}
+
+// checkFollowed holds a daemon to what it knows: a packet of an open flow goes on to its
+// target if that is known and the flow's route as well, wherever the route led before.
+func (m *FlowModel) checkFollowed(flow *Flow, daemon int, path *dataPath, decision *token.Decision) {
+	isDropped := decision.Action == token.Drop || decision.Action == token.Hold
+	if _, isKnown := path.table.AddressOf(flow.Target.Identifier); !isDropped || !isKnown || !path.table.Routes(flow.Route) {
+		return
 	}
-	return false
+	m.violate("MEMORY: daemon %d dropped a packet of a flow to %s, which it knows: %s", daemon, flow.Target.Key, decision.Reason)
 }
 
 // isInTouch reports whether bounds hold for a daemon now.
 func (m *FlowModel) isInTouch(daemon int) bool {
-	return m.Clock.Now().Sub(m.Daemons[daemon].TroubledAt) >= 4*time.Second
+	isCutOff := m.OutOfTouch != nil && m.OutOfTouch(daemon)
+	return !isCutOff && m.Clock.Now().Sub(m.Daemons[daemon].TroubledAt) >= 4*time.Second
 }
 
 func (m *FlowModel) checkRoute(flow *Flow, daemon int, target *FlowTarget, sentAt time.Time) {
