Steering by token: open flows are kept with their last head

Cause: a flow that rests when its target dies is reset only by its next packet, and by then a request that may not be repeated is on its way. Change: the open flows that are counted anyway keep source, destination, token and acknowledgement in places without pointers, and are kept until they rested for the idle time-out; up to 65,536 instead of 4,096. Tests: the bound and the expiry of openflows_test.go are asserted for the new limits: a silent flow is no longer counted after 5 s as before, and forgotten after the idle time-out.

--- a/internal/steering/token/builder.go
+++ b/internal/steering/token/builder.go
@@ -31,6 +31,7 @@
 	}
 	table := &Table{
 		Version:  configuration.Version,
+		Idle:     configuration.IdleTimeout,
 		targets:  map[uint32]*Target{},
 		services: b.services(configuration),
 	}
@@ -111,6 +112,7 @@
 			IsLapsed:    described.Gone && !described.Draining, LearnedAt: described.LearnedAt,
 		}
 		target.IsSuperseded = superseded[described]
+		table.hasSuperseded = table.hasSuperseded || target.IsSuperseded
 		if !table.add(target) || target.IsSuperseded {
 			continue
 		}
--- a/internal/steering/token/lives.go
+++ b/internal/steering/token/lives.go
@@ -96,3 +96,13 @@
 	target := t.targetOf(identifier)
 	return target != nil && target.isDead(now)
 }
+
+// IsDeadToken reports the same of the target of a token.
+func (t *Table) IsDeadToken(now time.Time, token uint32) bool {
+	target := t.targets[token]
+	return target != nil && target.isDead(now)
+}
+
+// HasSuperseded reports whether some target has ended because another one runs at its
+// address.
+func (t *Table) HasSuperseded() bool { return t.hasSuperseded }
--- a/internal/steering/token/openflows_test.go
+++ b/internal/steering/token/openflows_test.go
@@ -1,10 +1,14 @@
 package token
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
+
+	"github.com/passtray/passtray/internal/ownership"
 )
 
 func TestOpenFlowsAreCounted(t *testing.T) {
@@ -28,12 +32,91 @@
 	t.Run("or is silent", func(t *testing.T) {
 		assert.Equal(t, flows.count(later.Add(openFlowSilence - 1))[7], 1)
 		assert.Equal(t, flows.count(later.Add(openFlowSilence))[7], 0)
-		assert.Equal(t, len(flows.flows), 0)
+		assert.Equal(t, flows.held().Count, 2, "it is kept, as it may rest")
+		flows.count(later.Add(defaultIdle - time.Millisecond))
+		assert.Equal(t, flows.held().Count, 2)
+		flows.count(later.Add(defaultIdle))
+		assert.Equal(t, flows.held().Count, 0)
 	})
 	t.Run("and only so many", func(t *testing.T) {
-		for flow := range uint64(2 * countedFlows) {
+		for flow := range uint64(2 * mostOpenFlows) {
 			flows.note(begun, flow, target, data)
 		}
-		assert.Equal(t, len(flows.flows), countedFlows)
+		held := flows.held()
+		assert.Equal(t, held.Count, mostOpenFlows)
+		assert.Assert(t, held.Bytes < 8<<20, "%d bytes", held.Bytes)
+		flows.count(begun.Add(defaultIdle))
+		flows.note(begun.Add(defaultIdle), 1, target, data)
+		assert.Equal(t, flows.held().Count, 1, "places are used again")
+		assert.Equal(t, len(flows.flows), mostOpenFlows)
 	})
 }
+
+// isDeadAt holds one target for dead, by token.
+func isDeadAt(token uint32) func(uint32) bool {
+	return func(target uint32) bool { return target == token }
+}
+
+// TestFlowsThatRestAtADeadTargetAreTakenOnce, with what a reset must name.
+func TestFlowsThatRestAtADeadTargetAreTakenOnce(t *testing.T) {
+	flow := newExchange(t)
+	flow.send(1, 500, 100)
+	flow.send(101, 900, 0) // the answer came, and its caller rests
+	assert.Equal(t, len(flow.requests.TakeResting(isDeadAt(Of(101)), 10)), 0)
+	assert.Equal(t, len(flow.requests.TakeResting(isDeadAt(Of(100)), 0)), 0, "none may be reset now")
+	assert.DeepEqual(t, flow.requests.TakeResting(isDeadAt(Of(100)), 10), []Packet{{
+		Source: caller(0), Destination: rosterAddress, Token: Of(100), Acknowledgement: 900,
+	}}, cmpopts.EquateComparable(netip.AddrPort{}))
+	assert.Equal(t, len(flow.requests.TakeResting(isDeadAt(Of(100)), 10)), 0)
+}
+
+// TestFlowsThatAreOverAreNotReset: their callers may use the port again.
+func TestFlowsThatAreOverAreNotReset(t *testing.T) {
+	for name, end := range map[string]func(flow *exchange){
+		"closed":       func(flow *exchange) { flow.note(&Packet{IsClosing: true}) },
+		"reset":        func(flow *exchange) { flow.note(&Packet{IsReset: true}) },
+		"opened anew":  func(flow *exchange) { flow.open(0) },
+		"taken before": func(flow *exchange) { flow.requests.TakeWaiting(func(uint64) bool { return true }) },
+		"too old": func(flow *exchange) {
+			flow.requests.SetIdle(time.Second)
+			flow.requests.OpenFlows(flow.now.Add(time.Second))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			flow := newExchange(t)
+			flow.send(1, 500, 100)
+			assert.Equal(t, flow.requests.HeldFlows().Count, 1)
+			end(flow)
+			assert.Equal(t, flow.requests.HeldFlows().Count, 0)
+		})
+	}
+}
+
+// TestMomentsWrap: a daemon runs for longer than they count.
+func TestMomentsWrap(t *testing.T) {
+	before := time.UnixMilli(1<<32 - 500)
+	assert.Equal(t, momentOf(before.Add(time.Second)).since(momentOf(before)), time.Second)
+}
+
+// BenchmarkKeepingOpenFlows is a packet's cost, and the bytes of a flow.
+func BenchmarkKeepingOpenFlows(b *testing.B) {
+	const kept = 36_000 // 50 million among 1,400 daemons
+	flows, target := newOpenFlows(), &Target{Token: 7}
+	packet := &Packet{Source: caller(1), Destination: rosterAddress, PayloadLength: 1}
+	for i := range b.N {
+		flows.note(testStart, ownership.KeyOfCaller(1, caller(i%kept)).Hash, target, packet)
+	}
+	held := flows.held()
+	b.ReportMetric(float64(held.Bytes)/float64(held.Count), "B/flow")
+}
+
+// BenchmarkTakingResting is the cost of a verdict.
+func BenchmarkTakingResting(b *testing.B) {
+	flows := newOpenFlows()
+	for flow := range uint64(36_000) {
+		flows.note(testStart, flow, &Target{Token: 7}, &Packet{Source: caller(1), Destination: rosterAddress, PayloadLength: 1})
+	}
+	for b.Loop() {
+		flows.take(isDeadAt(8), 10)
+	}
+}
--- a/internal/steering/token/unacknowledged.go
+++ b/internal/steering/token/unacknowledged.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/passtray/passtray/internal/ownership"
 )
 
 // Unacknowledged is data that a caller sent again on an open flow: its target did not
@@ -52,6 +54,7 @@
 	for key, held := range r.waiting {
 		if isDead(held.target) {
 			r.end(key)
+			r.open.remove(ownership.KeyOfCaller(key.route, key.caller).Hash)
 			packets = append(packets, Packet{Source: key.caller, Destination: held.destination, Token: held.token, Acknowledgement: held.acknowledgement})
 		}
 	}
--- a/internal/steering/token/unrouted.go
+++ b/internal/steering/token/unrouted.go
@@ -30,11 +30,7 @@
 	if decision.Route == nil {
 		return now
 	}
-	held, isKnown := r.open.flows[hashOf(decision, packet)]
-	if !isKnown || held.target != decision.Target.Token {
-		return now
-	}
-	return held.first
+	return r.open.dataSince(now, hashOf(decision, packet), decision.Target.Token)
 }
 
 // Unrouted are flows whose words name targets that are known, at addresses to which no
