Followed: flows at rest at dead targets are reset at the verdict

Cause: a verdict of death reset the flows whose callers waited; one at rest was reset by its next packet, with a request under way that may not be repeated.

--- a/internal/node/followed_liveness.go
+++ b/internal/node/followed_liveness.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// carryLives puts verdicts into force: flows of dead targets are reset at once, those
-// that wait now and others with their next packet.
+// carryLives puts verdicts into force: flows of dead targets are reset at once, those whose
+// callers wait before those that rest, and what came past other daemons with its next packet.
 func (n *Followed) carryLives(now time.Time, table *token.Table, output liveness.Output) {
 	for _, verdict := range output.Dead {
 		table.SetDead(verdict.Subject.Target, verdict.Until, verdict.Until.Add(deadProbation))
@@ -75,6 +75,7 @@
 			telemetry.FieldCount, reset,
 		)
 	}
+	n.resetResting(now, table)
 	for _, target := range output.Alive {
 		table.SetAlive(target)
 		n.counters().revived.Add(1)
--- a/internal/steering/token/lives.go
+++ b/internal/steering/token/lives.go
@@ -103,6 +103,9 @@
 	return target != nil && target.isDead(now)
 }
 
+// TargetOf returns the target of a token, nil if there is none.
+func (t *Table) TargetOf(token uint32) *Target { return t.targets[token] }
+
 // HasSuperseded reports whether some target has ended because another one runs at its
 // address.
 func (t *Table) HasSuperseded() bool { return t.hasSuperseded }
