Simulation: flows that rest at dead targets, and requests lost there

Change: callers that keep flows and pause; requests to dead targets are counted, those after the verdict apart. Targets crash, are superseded, hang, are cut off or slow, daemons stand still and restart; no reset may meet an open flow of a living target, no request may go to a target that the fleet has known to be dead for 0.3 s.

--- a/internal/simulation/flows_lives.go
+++ b/internal/simulation/flows_lives.go
@@ -14,9 +14,11 @@
 
 // The ways. ToldAtVerdict is the daemon's.
 const (
-	// ToldAtVerdict resets the flows that wait when the target is held for dead, and
+	// ToldAtVerdict resets all flows that a daemon keeps when the target is found dead, and
 	// others with their next packet.
 	ToldAtVerdict ToldWhen = iota
+	// ToldIfWaiting resets those whose callers wait, and others with their next packet.
+	ToldIfWaiting
 	// ToldAtPacket resets flows with their next packet.
 	ToldAtPacket
 	// ToldNever leaves callers to their deadlines.
@@ -61,9 +63,9 @@
 
 func (m *FlowModel) carryLives(index int, path *dataPath, output liveness.Output) {
 	for _, verdict := range output.Dead {
-		m.Verdicts++
+		m.noteVerdict(verdict.Subject.Target)
 		path.table.SetDead(verdict.Subject.Target, verdict.Until, verdict.Until)
-		if m.Told != ToldAtVerdict {
+		if m.Told > ToldIfWaiting {
 			continue
 		}
 		isDead := func(target uint64) bool { return path.table.IsDead(m.Clock.Now(), target) }
@@ -71,6 +73,7 @@
 			m.reset(waiting.Source, waiting.Token)
 		}
 	}
+	m.resetResting(path)
 	for _, target := range output.Alive {
 		path.table.SetAlive(target)
 	}
@@ -85,6 +88,48 @@
 	}
 }
 
+// resetResting resets what a daemon knows to rest at dead targets.
+func (m *FlowModel) resetResting(path *dataPath) {
+	if m.Told != ToldAtVerdict {
+		return
+	}
+	isDead := func(target uint32) bool { return m.restsAtDead(path, target) }
+	for _, resting := range path.requests.TakeResting(isDead, flowPins) {
+		m.Resting++
+		m.reset(resting.Source, resting.Token)
+	}
+}
+
+// restsAtDead reports whether flows that rest at a target are to be reset.
+func (m *FlowModel) restsAtDead(path *dataPath, target uint32) bool {
+	return m.AllRestAtDead || path.table.IsDeadToken(m.Clock.Now(), target)
+}
+
+// toldWithin is how long after the first verdict on a target all that rest there have been
+// told: the verdict travels to others, their steps and the reset take time.
+const toldWithin = 300 * time.Millisecond
+
+// noteVerdict notes since when a target is found dead.
+func (m *FlowModel) noteVerdict(target uint64) {
+	m.Verdicts++
+	if _, isKnown := m.verdictAt[target]; !isKnown {
+		m.verdictAt[target] = m.Clock.Now()
+	}
+}
+
+// noteRequest counts a request that goes to a dead target on an open flow: it is lost where it
+// may not be repeated. LostAfter are those that begin when the fleet has known for a while.
+func (m *FlowModel) noteRequest(flow *Flow) {
+	if !flow.Opened || flow.Target.Alive {
+		return
+	}
+	m.Lost++
+	verdictAt, isKnown := m.verdictAt[flow.Target.Identifier]
+	if isKnown && m.Clock.Now().Sub(verdictAt) > toldWithin {
+		m.LostAfter++
+	}
+}
+
 // probeTimeout is how long a target may take to answer a probe.
 const probeTimeout = 150 * time.Millisecond
 
--- a/internal/simulation/lives_test.go
+++ b/internal/simulation/lives_test.go
@@ -83,9 +83,7 @@
 // TestOneDaemonsWordResetsLivingFlows: the check finds a detector that takes one daemon's
 // word, and neither probes nor waits for objections.
 func TestOneDaemonsWordResetsLivingFlows(t *testing.T) {
-	hasty := liveness.DefaultConfig()
-	hasty.Reporters, hasty.Flows, hasty.Sends = 1, 1, 1
-	hasty.ObjectFor, hasty.LeastSilence, hasty.SignsMissed = 0, 0, 0
+	hasty := hastyConfig()
 	found := 0
 	for seed := range uint64(5) {
 		found += len(resetsOfTheLiving(seed, hasty, true))
