Liveness: a verdict is told twice

Cause: a verdict is one datagram to each daemon. Ruled out: an acknowledgement by each daemon (as many datagrams, and a state for each); a question by those that were asked and hear no verdict (as many whenever somebody objects). Change: the judge tells it once more 0.1 s later, for targets only.

--- a/internal/liveness/config.go
+++ b/internal/liveness/config.go
@@ -29,6 +29,9 @@
 	// HoldFor is how long a verdict holds. Then flows reach the target again, and show
 	// whether it is still dead.
 	HoldFor time.Duration
+	// RepeatAfter is how long after a verdict the judge tells it once more. A daemon that it
+	// did not reach resets no flows that rest; later losses are not those of the first time.
+	RepeatAfter time.Duration
 	// FirstJudges is how many daemons are told of a silence at first; each further time
 	// it is twice as many, up to MostJudges, as some of them may have gone.
 	FirstJudges int
@@ -50,6 +53,7 @@
 		ZoneProbes:   4,
 		Window:       3 * time.Second, // a caller sends again after 0.2, 0.6, 1.4 and 3 s
 		HoldFor:      3 * time.Second, // shorter than the 4 s in which a troubled target is excused
+		RepeatAfter:  100 * time.Millisecond,
 
 		FirstJudges: 2,
 		MostJudges:  8, // of 8, all are gone in one of 60 cases where 6 of 10 daemons are
--- a/internal/liveness/detector.go
+++ b/internal/liveness/detector.go
@@ -229,6 +229,7 @@
 		}
 		d.judge(now, directory, subject, suspected, &output)
 		d.judgeAlone(now, directory, subject, suspected, &output)
+		d.repeat(now, subject, suspected, &output)
 		if suspected.isOver(now) {
 			delete(d.suspects, subject)
 		}
--- a/internal/liveness/judge.go
+++ b/internal/liveness/judge.go
@@ -53,6 +53,21 @@
 	verdict := Verdict{Silence: silence, Reporters: len(suspected.evidence), Flows: flows, Sends: sends}
 	output.tell(Outgoing{Report: Report{Subject: subject, Kind: Dead}}, silence)
 	d.bury(now, subject, suspected, verdict, output)
+	if subject.Zone == "" {
+		suspected.repeatAt = now.Add(d.config.RepeatAfter)
+	}
+}
+
+// repeat tells a verdict of this daemon once more, for those whom a datagram did not reach:
+// flows that they alone know of are not reset else.
+func (d *Detector) repeat(now time.Time, subject Subject, suspected *suspect, output *Output) {
+	if suspected.repeatAt.IsZero() || now.Before(suspected.repeatAt) {
+		return
+	}
+	suspected.repeatAt = time.Time{}
+	if suspected.isDead(now) {
+		output.tell(Outgoing{Report: Report{Subject: subject, Kind: Dead}}, now.Sub(suspected.silentSince))
+	}
 }
 
 // judgeAlone holds a target of a silent zone for dead on what this daemon itself saw: a caller
--- a/internal/liveness/suspect.go
+++ b/internal/liveness/suspect.go
@@ -29,6 +29,8 @@
 	// said nothing.
 	deadUntil   time.Time
 	silentSince time.Time
+	// repeatAt is when a verdict of this daemon is told once more, zero if it is not.
+	repeatAt time.Time
 }
 
 // probeState is how far a probe has come.
--- a/internal/simulation/resting_test.go
+++ b/internal/simulation/resting_test.go
@@ -130,3 +130,13 @@
 		*r.paths[index] = dataPath{generation: -1}
 	}
 }
+
+// TestAVerdictReachesWhoMissedItsDatagram: in these schedules a daemon did, and a request went
+// through it to a target that was known to be dead.
+func TestAVerdictReachesWhoMissedItsDatagram(t *testing.T) {
+	for _, seed := range []uint64{238, 283, 344, 347, 372, 378} {
+		run := startPooled(seed, ToldAtVerdict)
+		run.playCrashes(false)
+		assert.Equal(t, run.LostAfter, 0, "seed %d: of %d lost", seed, run.Lost)
+	}
+}
