Steering by token: a target that went is not superseded by an earlier one

Cause: a target whose entry went counted as superseded by whatever the view holds at its address. Where the removal of the one that ran there before did not come here yet, that is the earlier one, and the flows of the later, which may live, were refused; now also those at rest. Ruled out: comparing with the revision of the removal (removals often come after the address is used again, so the truly superseded would not be found). Change: a record keeps the revision at which it was there last, also when it is told to others; a target that went is superseded only by one that was written later. Figures: a test that failed before.

--- a/internal/followed/records.go
+++ b/internal/followed/records.go
@@ -11,6 +11,9 @@
 	// Key and Revision are the store's.
 	Key      string
 	Revision uint64
+	// Written is the revision at which the entry was there last; Revision is later once it
+	// went.
+	Written uint64
 	// Gone says that the store holds the entry no more.
 	Gone bool
 	// LearnedAt is when the state above was learned by whoever read it first.
@@ -165,7 +168,7 @@
 		entry.Key, entry.Revision, entry.Age = record.Key, record.Revision, max(0, now.Sub(record.LearnedAt))
 		if record.Gone {
 			removal := Entry{Key: entry.Key, Revision: entry.Revision, Age: entry.Age}
-			entry.Revision--
+			entry.Revision = record.Written
 			entries = append(entries, entry, removal)
 			continue
 		}
--- a/internal/steering/token/builder.go
+++ b/internal/steering/token/builder.go
@@ -60,8 +60,9 @@
 }
 
 // supersededTargets returns those at whose address a later target runs. Of two in the
-// store the one written earlier has ended, as it cannot have been written since; one that
-// went has ended before one that is there.
+// store the one written earlier has ended, as it cannot have been written since. One that went
+// has ended if the one that is there was written later: else it is the other one that ended,
+// whose removal is not known here yet.
 func supersededTargets(known []*followed.KnownTarget) map[*followed.KnownTarget]bool {
 	superseded := map[*followed.KnownTarget]bool{}
 	present := make(map[netip.AddrPort]*followed.KnownTarget, len(known))
@@ -81,7 +82,7 @@
 		present[target.Address] = target
 	}
 	for _, target := range known {
-		if target.Gone && present[target.Address] != nil {
+		if other := present[target.Address]; target.Gone && other != nil && other.Revision > target.Written {
 			superseded[target] = true
 		}
 	}
--- a/internal/steering/token/dead_test.go
+++ b/internal/steering/token/dead_test.go
@@ -67,6 +67,14 @@
 	}
 }
 
+// TestATargetThatWentIsNotSupersededByAnEarlierOne, whose removal did not come here yet.
+func TestATargetThatWentIsNotSupersededByAnEarlierOne(t *testing.T) {
+	site := newSite(t)
+	site.target("new", 300, "roster", atFirst)
+	site.remove("new")
+	assert.Equal(t, site.follow(rosterAddress, 1, Of(300)).Action, Forward)
+}
+
 // atFirst puts a target at the address of roster-0.
 func atFirst(target *followed.Target) {
 	target.Address = netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), 100)
