--- a/internal/steering/token/unacknowledged.go
+++ b/internal/steering/token/unacknowledged.go
@@ -50,17 +50,22 @@
 // TakeWaiting ends the requests that wait for targets that are dead, and returns for each the
 // head of the packet that a reset answers.
 func (r *Requests) TakeWaiting(isDead func(target uint64) bool) []Packet {
-	var packets []Packet
+	var keys []requestKey
 	for key, held := range r.waiting {
 		if isDead(held.target) {
-			r.end(key)
-			r.open.remove(ownership.KeyOfCaller(key.route, key.caller).Hash)
-			packets = append(packets, Packet{Source: key.caller, Destination: held.destination, Token: held.token, Acknowledgement: held.acknowledgement})
+			keys = append(keys, key)
 		}
 	}
-	slices.SortFunc(packets, func(a, b Packet) int { // in a fixed order, for seeded runs
-		return cmp.Or(a.Source.Compare(b.Source), a.Destination.Compare(b.Destination))
+	slices.SortFunc(keys, func(a, b requestKey) int { // in a fixed order, for seeded runs
+		return cmp.Or(a.caller.Compare(b.caller), cmp.Compare(a.route, b.route))
 	})
+	packets := make([]Packet, 0, len(keys))
+	for _, key := range keys {
+		held := r.waiting[key]
+		r.end(key)
+		r.open.remove(ownership.KeyOfCaller(key.route, key.caller).Hash)
+		packets = append(packets, Packet{Source: key.caller, Destination: held.destination, Token: held.token, Acknowledgement: held.acknowledgement})
+	}
 	return packets
 }
 
