Simulation: a schedule in which a lapsed target counted as superseded

Seed 10384 of the flow schedules reset an open flow of a living target: the trace shows two daemons that held the entry of the target that ran at the address before as present, and the lapsed one for superseded by it.

--- a/internal/simulation/resting_test.go
+++ b/internal/simulation/resting_test.go
@@ -140,3 +140,12 @@
 		assert.Equal(t, run.LostAfter, 0, "seed %d: of %d lost", seed, run.Lost)
 	}
 }
+
+// TestALapsedTargetIsNotSupersededByTheOneBefore: in this schedule two daemons had not heard that
+// the target had gone that ran at the address before, and reset the flows of the living one when
+// its entry lapsed.
+func TestALapsedTargetIsNotSupersededByTheOneBefore(t *testing.T) {
+	run := startFlowRun(10384)
+	run.play()
+	assert.Equal(t, len(run.Violations), 0, "%v", run.Violations)
+}
