Followed: tests of resets at rest on a real daemon

A caller that rests is reset at a verdict and when its target is superseded, with log line, explain line and status; what is over the bound of a step waits for the next.

--- a/internal/node/followed_liveness_test.go
+++ b/internal/node/followed_liveness_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/binary"
+	"net"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
+	"github.com/passtray/passtray/internal/followed"
 	"github.com/passtray/passtray/internal/liveness"
 	"github.com/passtray/passtray/internal/steering/token"
 )
@@ -57,3 +60,66 @@
 	assert.Assert(t, node.reaches(site.nodes[0].settings.Telemetry, probeTimeout), "the daemon's own listener")
 	assert.Assert(t, !node.reaches(siteAddress(110, 9), probeTimeout), "a port where nobody listens")
 }
+
+// TestACallerThatRestsIsReset before it sends again, at a verdict and when another target is seen
+// at the address.
+func TestACallerThatRestsIsReset(t *testing.T) {
+	for name, end := range map[string]func(site *followedSite, node *Followed){
+		"at a verdict": func(_ *followedSite, node *Followed) {
+			node.enqueue(func(now time.Time) {
+				verdict := liveness.Verdict{Subject: liveness.Subject{Target: 77}, Until: now.Add(time.Hour)}
+				node.carryLives(now, node.plane.table.Load(), liveness.Output{Dead: []liveness.Verdict{verdict}})
+			})
+		},
+		"when it is superseded": func(site *followedSite, _ *Followed) {
+			address := site.target.LocalAddr().(*net.UDPAddr).AddrPort()
+			site.store.Put(followed.Entry{Key: "target-2", Target: &followed.Target{Identifier: 78, Service: "s", Address: address, Zone: "zone", Slots: 2}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			site := newFollowedSite(t)
+			site.store.Put(followedConfiguration(1))
+			site.putTarget()
+			lines := &logLines{}
+			node := site.start(t, 0, site.store, lines.logger())
+			waitFor(t, "readiness", func() bool { return node.Ready() == "" })
+			site.send(t, 0, token.Of(77), wordOthers)
+			receive(t, site.target)
+			end(site, node)
+			assert.Equal(t, receive(t, site.caller)[16], byte(wordReset))
+			waitFor(t, "the log line", func() bool { return lines.contains(messageRestingReset) })
+			assert.Assert(t, lines.contains(token.ReasonAtRest.String()), "the flow's own line")
+			status, _ := node.Status()
+			assert.Equal(t, status.Flows.ResetAtRest, uint64(1))
+			assert.Equal(t, status.Flows.Held, 0)
+		})
+	}
+}
+
+// TestResetsAtRestArePaced: what is over the bound of a step is reset in the next.
+func TestResetsAtRestArePaced(t *testing.T) {
+	site := newFollowedSite(t)
+	site.store.Put(followedConfiguration(1))
+	site.putTarget()
+	node := site.start(t, 0, site.store, logr.Discard())
+	waitFor(t, "readiness", func() bool { return node.Ready() == "" })
+	sources := site.callerAddress().Addr()
+	for number := range mostRestingResets + 10 {
+		packet := wordPacket(netip.AddrPortFrom(sources, uint16(1000+number)), followedRoute, token.Of(77), wordOthers)
+		_, err := site.caller.WriteToUDPAddrPort(packet, siteAddress(0, followedDataPort))
+		assert.NilError(t, err)
+		receive(t, site.target)
+	}
+	steps := make(chan []int, 1)
+	node.enqueue(func(now time.Time) {
+		table := node.plane.table.Load()
+		table.SetDead(77, now.Add(time.Hour), now.Add(time.Hour))
+		node.plane.mayRest = true
+		var reset []int
+		for range 3 {
+			reset = append(reset, node.plane.resetResting(now, table))
+		}
+		steps <- reset
+	})
+	assert.DeepEqual(t, <-steps, []int{mostRestingResets, 10, 0})
+}
