Steering by token: targets by zone are listed when a table is built

Cause: each report on a zone, and each tick while one is suspected, walked all targets. Change: the builder lists them by zone.

--- a/internal/steering/token/builder.go
+++ b/internal/steering/token/builder.go
@@ -33,6 +33,7 @@
 		Version:  configuration.Version,
 		Idle:     configuration.IdleTimeout,
 		targets:  map[uint32]*Target{},
+		byZone:   map[string][]*Target{},
 		services: b.services(configuration),
 	}
 	table.routes, table.dropped = b.routes.build(now, configuration)
@@ -117,6 +118,7 @@
 		if !table.add(target) || target.IsSuperseded {
 			continue
 		}
+		table.byZone[target.Zone] = append(table.byZone[target.Zone], target)
 		service := table.services[described.Service]
 		if service == nil {
 			continue
--- a/internal/steering/token/dead_test.go
+++ b/internal/steering/token/dead_test.go
@@ -1,12 +1,14 @@
 package token
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/passtray/passtray/internal/balance"
 	"github.com/passtray/passtray/internal/followed"
 	"github.com/passtray/passtray/internal/liveness"
 )
@@ -166,3 +168,16 @@
 	assert.Assert(t, site.table.LastLife(zone).Equal(site.now))
 	assert.DeepEqual(t, site.table.TargetsToProbe(zone, 2), []uint64{104, 101})
 }
+
+// BenchmarkLastLifeOfAZone is what a report on a zone costs of 15,000 targets in 23.
+func BenchmarkLastLifeOfAZone(b *testing.B) {
+	table := &Table{targets: map[uint32]*Target{}, byZone: map[string][]*Target{}}
+	for number := range 15_000 {
+		target := &Target{Identifier: uint64(number), Token: Of(uint64(number)), Zone: fmt.Sprint(number % 23), Signal: &balance.Signal{}}
+		table.targets[target.Token] = target
+		table.byZone[target.Zone] = append(table.byZone[target.Zone], target)
+	}
+	for b.Loop() {
+		table.LastLife(liveness.Subject{Zone: "7"})
+	}
+}
--- a/internal/steering/token/lives.go
+++ b/internal/steering/token/lives.go
@@ -21,21 +21,16 @@
 // IsKnown reports whether packets of a subject's flows are forwarded.
 func (t *Table) IsKnown(subject liveness.Subject) bool { return len(t.targetsOf(subject)) > 0 }
 
-// targetsOf returns the targets of a subject, without those that have ended for certain.
+// targetsOf returns the targets of a subject, without those that have ended for certain. The
+// list is not to be changed.
 func (t *Table) targetsOf(subject liveness.Subject) []*Target {
-	var targets []*Target
-	if subject.Zone == "" {
-		if target := t.targetOf(subject.Target); target != nil && !target.IsSuperseded {
-			targets = append(targets, target)
-		}
-		return targets
+	if subject.Zone != "" {
+		return t.byZone[subject.Zone]
 	}
-	for _, target := range t.targets {
-		if target.Zone == subject.Zone && !target.IsSuperseded {
-			targets = append(targets, target)
-		}
+	if target := t.targetOf(subject.Target); target != nil && !target.IsSuperseded {
+		return []*Target{target}
 	}
-	return targets
+	return nil
 }
 
 // LastLife is when a subject was last seen to send something, zero if it never was.
@@ -61,7 +56,7 @@
 // TargetsToProbe returns some targets, at most count, that speak for a subject: half of them
 // those that were heard from last, and half those that were not for the longest time.
 func (t *Table) TargetsToProbe(subject liveness.Subject, count int) []uint64 {
-	targets := t.targetsOf(subject)
+	targets := slices.Clone(t.targetsOf(subject))
 	slices.SortFunc(targets, func(a, b *Target) int {
 		return cmp.Or(b.Signal.LastLife().Compare(a.Signal.LastLife()), cmp.Compare(a.Token, b.Token))
 	})
