Node: tests of resets at rest send words bound to their address

Joins resets at rest with bound words: two tests named the target's token on the wire, which nobody follows any more. Their assertions are the same. go test ./internal/... of the packages touched passed (steering, node, liveness, followed, ctl, platform, simulation).

--- a/internal/node/followed_liveness_test.go
+++ b/internal/node/followed_liveness_test.go
@@ -83,7 +83,7 @@
 			lines := &logLines{}
 			node := site.start(t, 0, site.store, lines.logger())
 			waitFor(t, "readiness", func() bool { return node.Ready() == "" })
-			site.send(t, 0, token.Of(77), wordOthers)
+			site.send(t, 0, token.WordAt(followedRoute, 77), wordOthers)
 			receive(t, site.target)
 			end(site, node)
 			assert.Equal(t, receive(t, site.caller)[16], byte(wordReset))
@@ -105,7 +105,7 @@
 	waitFor(t, "readiness", func() bool { return node.Ready() == "" })
 	sources := site.callerAddress().Addr()
 	for number := range mostRestingResets + 10 {
-		packet := wordPacket(netip.AddrPortFrom(sources, uint16(1000+number)), followedRoute, token.Of(77), wordOthers)
+		packet := wordPacket(netip.AddrPortFrom(sources, uint16(1000+number)), followedRoute, token.WordAt(followedRoute, 77), wordOthers)
 		_, err := site.caller.WriteToUDPAddrPort(packet, siteAddress(0, followedDataPort))
 		assert.NilError(t, err)
 		receive(t, site.target)
