Load reports: reports of another kind may stand behind them

Cause: what daemons of a zone tell each other shall also hold how fast targets work, under the same bound of bytes. Change: MessageWithin makes a message of at most so many bytes, and a byte that no count of targets takes marks reports of another kind, at which Hear stops; a daemon that does not know them counts the rest as unread and uses what stands before. Conclusion: no change of behaviour by itself.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -33,6 +33,9 @@
 	maximumTargets = 16
 	// tooMany is in the place of the number of targets in a report of such a daemon.
 	tooMany = 255
+	// OtherKind is there in reports of another kind, which stand behind those on open
+	// flows; reading ends at them.
+	OtherKind = 254
 	// maximumReports bounds the daemons that are remembered.
 	maximumReports = 1024
 )
@@ -132,7 +135,10 @@
 
 // Message returns reports to pass on, those that were passed on least first, and of them
 // the latest.
-func (e *Exchange) Message(now time.Time) []byte {
+func (e *Exchange) Message(now time.Time) []byte { return e.MessageWithin(now, MaximumBytes) }
+
+// MessageWithin does so with at most so many bytes, as something else is told besides.
+func (e *Exchange) MessageWithin(now time.Time, most int) []byte {
 	addresses := slices.SortedFunc(maps.Keys(e.reports), func(a, b netip.AddrPort) int {
 		one, other := e.reports[a], e.reports[b]
 		return cmp.Or(cmp.Compare(one.sent, other.sent), other.at.Compare(one.at), a.Compare(b))
@@ -140,7 +146,7 @@
 	var message []byte
 	for _, address := range addresses {
 		held := e.reports[address]
-		if len(message)+headBytes+flowsBytes*len(held.flows) > MaximumBytes {
+		if len(message)+headBytes+flowsBytes*len(held.flows) > most {
 			break
 		}
 		held.sent++
