--- /dev/null
+++ b/internal/targetspeed/targetspeed_test.go
@@ -0,0 +1,180 @@
+package targetspeed
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/passtray/passtray/internal/loadshare"
+)
+
+var testNow = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+const slowTarget, usualTarget = loadshare.Mark(7), loadshare.Mark(8)
+
+func daemonAt(number int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("192.0.2.%d:7000", number))
+}
+
+// note lets a daemon see answers of one target.
+func note(exchange *Exchange, now time.Time, target loadshare.Mark, count int, times float64) {
+	for range count {
+		exchange.Note(now, target, times)
+	}
+}
+
+// tell lets daemons of a zone, one for each number given, see answers and tell the first.
+func tell(t *testing.T, now time.Time, times ...float64) *Exchange {
+	t.Helper()
+	first := NewExchange(daemonAt(1), 0)
+	for index, of := range times {
+		other := NewExchange(daemonAt(2+index), 0)
+		note(other, now, slowTarget, 20, of)
+		other.Tick(now)
+		assert.Equal(t, first.Hear(now, other.Message(now)), 0)
+	}
+	return first
+}
+
+func speedOf(exchange *Exchange, now time.Time, target loadshare.Mark) float64 {
+	return exchange.Estimates(now)[target].Speed
+}
+
+func assertNear(t *testing.T, found, wanted float64) {
+	t.Helper()
+	assert.Assert(t, math.Abs(found-wanted) < 0.05, "%.3f instead of %.2f", found, wanted)
+}
+
+func TestEstimates(t *testing.T) {
+	t.Run("a target whose answers take twice as long is nearly half as fast", func(t *testing.T) {
+		assertNear(t, speedOf(tell(t, testNow, 2, 2, 2, 2), testNow, slowTarget), 0.55)
+	})
+	t.Run("few answers say little", func(t *testing.T) {
+		exchange := NewExchange(daemonAt(1), 0)
+		note(exchange, testNow, slowTarget, 1, 4)
+		assert.Assert(t, speedOf(exchange, testNow, slowTarget) > 0.75)
+	})
+	t.Run("what is not seen again fades, and is forgotten", func(t *testing.T) {
+		exchange := tell(t, testNow, 4, 4, 4)
+		note(exchange, testNow, slowTarget, 20, 4)
+		later := speedOf(exchange, testNow.Add(4*memory), slowTarget)
+		assert.Assert(t, later > 0.7, "%.2f", later)
+		exchange.Tick(testNow.Add(6 * memory))
+		assert.Equal(t, len(exchange.Estimates(testNow.Add(6*memory))), 0)
+	})
+	t.Run("a target that recovered is known to within two memories", func(t *testing.T) {
+		exchange := NewExchange(daemonAt(1), 0)
+		note(exchange, testNow, slowTarget, 50, 4)
+		for second := range int(2 * memory / time.Second) {
+			note(exchange, testNow.Add(time.Duration(second)*time.Second), slowTarget, 4, 1)
+		}
+		assert.Assert(t, speedOf(exchange, testNow.Add(2*memory), slowTarget) > 0.8)
+	})
+	t.Run("one answer that took for ever counts as a bounded one", func(t *testing.T) {
+		exchange := NewExchange(daemonAt(1), 0)
+		note(exchange, testNow, usualTarget, 20, 1)
+		note(exchange, testNow, usualTarget, 1, 1e12)
+		assert.Assert(t, speedOf(exchange, testNow, usualTarget) > 0.9)
+	})
+	t.Run("what is no number of times is no answer", func(t *testing.T) {
+		exchange := NewExchange(daemonAt(1), 0)
+		for _, times := range []float64{0, -1, math.NaN()} {
+			note(exchange, testNow, usualTarget, 20, times)
+		}
+		assert.Equal(t, len(exchange.Estimates(testNow)), 0)
+	})
+}
+
+// TestALiarDecidesNothing whatever it says and however often it says that it looked.
+func TestALiarDecidesNothing(t *testing.T) {
+	for _, lie := range []float64{0.2, 5} {
+		assertNear(t, speedOf(tell(t, testNow, 1, 1, lie), testNow, slowTarget), 1)
+		assert.Equal(t, estimateOf([]opinion{{0, 3}, {0, 3}, {math.Log(lie), mostWeight}}).Speed, 1.0)
+	}
+	t.Run("nor does one of two with more than half", func(t *testing.T) {
+		held := []opinion{{0, 4}, {math.Log(4), mostWeight}}
+		assert.Assert(t, estimateOf(held).Speed > 0.5)
+	})
+}
+
+func TestReports(t *testing.T) {
+	t.Run("are passed on, and not taken twice", func(t *testing.T) {
+		first := tell(t, testNow, 2)
+		second := NewExchange(daemonAt(9), 0)
+		message := first.Message(testNow)
+		for range 2 {
+			assert.Equal(t, second.Hear(testNow, message), 0)
+		}
+		assert.Equal(t, second.Estimates(testNow)[slowTarget].Observations, 20.0)
+	})
+	t.Run("replace older ones of the same daemon, and no newer ones", func(t *testing.T) {
+		other, first := NewExchange(daemonAt(2), 0), NewExchange(daemonAt(1), 0)
+		note(other, testNow, slowTarget, 20, 2)
+		other.Tick(testNow)
+		old := other.Message(testNow)
+		later := testNow.Add(ReportInterval)
+		note(other, later, slowTarget, 200, 1)
+		other.Tick(later)
+		assert.Equal(t, first.Hear(later, other.Message(later)), 0)
+		assert.Equal(t, first.Hear(later, old), 0)
+		assert.Assert(t, speedOf(first, later, slowTarget) > 0.9)
+	})
+	t.Run("tell first of what was seen most, and of the rest with the next", func(t *testing.T) {
+		other, first := NewExchange(daemonAt(2), 0), NewExchange(daemonAt(1), 0)
+		for target := range loadshare.Mark(mostEntries + 5) {
+			note(other, testNow, target, 1+int(target), 1)
+		}
+		for round, known := range []int{mostEntries, mostEntries + 5} {
+			now := testNow.Add(time.Duration(round) * ReportInterval)
+			other.Tick(now)
+			message := other.Message(now)
+			assert.Assert(t, len(message) <= MaximumBytes)
+			first.Hear(now, message)
+			assert.Equal(t, len(first.Estimates(now)), known)
+		}
+	})
+	t.Run("are dropped when they are old", func(t *testing.T) {
+		first := tell(t, testNow, 2)
+		assert.Equal(t, len(first.Message(testNow.Add(passedOnFor))), 0)
+	})
+	t.Run("stand behind those on open flows, which a daemon that knows only these reads", func(t *testing.T) {
+		loads, heard := loadshare.New(daemonAt(1), 0), loadshare.New(daemonAt(2), 0)
+		loads.Tick(testNow, func() map[uint32]int { return map[uint32]int{0x70000: 3} })
+		speeds := tell(t, testNow, 2).Message(testNow)
+		assert.Equal(t, heard.Hear(testNow, append(loads.Message(testNow), speeds...)), len(speeds))
+		totals, _ := heard.Totals(testNow)
+		assert.DeepEqual(t, totals, map[loadshare.Mark]int{7: 3})
+	})
+}
+
+// TestMemoryIsBounded by reporters and targets, whatever is heard.
+func TestMemoryIsBounded(t *testing.T) {
+	exchange := NewExchange(daemonAt(1), 0)
+	for number := range 3 * mostReports {
+		from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(number >> 8), byte(number)}), 1)
+		exchange.take(testNow, from, &report{number: 1, at: testNow, entries: []entry{{target: slowTarget, weight: 9}}})
+	}
+	assert.Equal(t, len(exchange.reports), mostReports)
+	assert.Equal(t, len(exchange.heard[slowTarget]), mostReporters)
+}
+
+func FuzzHear(f *testing.F) {
+	exchange := NewExchange(daemonAt(1), 0)
+	note(exchange, testNow, slowTarget, 3, 2)
+	exchange.Tick(testNow)
+	f.Add(exchange.Message(testNow))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, message []byte) {
+		heard := NewExchange(daemonAt(2), 0)
+		unread := heard.Hear(testNow, message)
+		assert.Assert(t, unread >= 0 && unread <= len(message))
+		assert.Assert(t, len(heard.Message(testNow)) <= MaximumBytes)
+		for _, estimate := range heard.Estimates(testNow) {
+			assert.Assert(t, estimate.Speed >= Slowest && estimate.Speed <= Fastest)
+		}
+	})
+}
