Steering by token: prompt answers tell how fast a target works

Change: counted are only answers that are acknowledged by a packet without data, not sent again, of a warm target, less the path as openings show it, over the route's own median. Table.SetSpeeds normalises by service. Ruled out: passing over latencies above 200 ms (cuts off slow targets, keeps short pauses).

--- /dev/null
+++ b/internal/steering/token/answered_test.go
@@ -0,0 +1,96 @@
+package token
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// answered lets a request wait for a span and be acknowledged with a payload.
+func (e *exchange) answered(waits time.Duration, payload int) {
+	e.send(1, 500, 100)
+	e.now = e.now.Add(waits)
+	e.send(101, 1300, payload)
+	if payload > 0 {
+		e.send(201, 2000, 0)
+	}
+}
+
+func TestAnswersThatTellHowFastATargetWorks(t *testing.T) {
+	learned := func(t *testing.T) *exchange {
+		flow := newExchange(t)
+		flow.now = flow.now.Add(time.Minute)
+		for range promptLearnedAfter {
+			flow.answered(20*time.Millisecond, 0)
+		}
+		assert.Equal(t, len(flow.requests.TakeAnswered()), 0)
+		return flow
+	}
+	assertTold := func(t *testing.T, flow *exchange, times ...float64) {
+		t.Helper()
+		taken := flow.requests.TakeAnswered()
+		assert.Equal(t, len(taken), len(times))
+		for index, answered := range taken {
+			assert.Equal(t, answered.Token, Of(100))
+			assert.Assert(t, math.Abs(answered.Times/times[index]-1) < 0.15, "%.2f", answered.Times)
+		}
+	}
+	t.Run("are those that callers acknowledge at once", func(t *testing.T) {
+		flow := learned(t)
+		flow.answered(60*time.Millisecond, 0)
+		assertTold(t, flow, 3)
+		assertTold(t, flow)
+	})
+	t.Run("not those that are acknowledged with the next request", func(t *testing.T) {
+		flow := learned(t)
+		flow.answered(60*time.Millisecond, 100)
+		assertTold(t, flow, 0.05) // the next request, which was acknowledged at once
+	})
+	t.Run("not those whose request was sent again", func(t *testing.T) {
+		flow := learned(t)
+		flow.send(1, 500, 100)
+		flow.now = flow.now.Add(200 * time.Millisecond)
+		flow.answered(60*time.Millisecond, 0)
+		assertTold(t, flow)
+	})
+	t.Run("not those of a cold target", func(t *testing.T) {
+		flow := learned(t)
+		flow.decision().Target.WarmAt = flow.now.Add(time.Second)
+		flow.answered(60*time.Millisecond, 0)
+		assertTold(t, flow)
+	})
+	t.Run("are counted without the path, which openings show", func(t *testing.T) {
+		flow := newExchange(t)
+		flow.now = flow.now.Add(time.Minute)
+		flow.open(7)
+		flow.now = flow.now.Add(10 * time.Millisecond)
+		flow.send(1, 500, 0)
+		for range promptLearnedAfter {
+			flow.answered(20*time.Millisecond, 0)
+		}
+		flow.answered(40*time.Millisecond, 0)
+		assertTold(t, flow, 3)
+	})
+	t.Run("wait to be taken in bounded number", func(t *testing.T) {
+		flow := learned(t)
+		for range mostAnswered + 10 {
+			flow.answered(20*time.Millisecond, 0)
+		}
+		assert.Equal(t, len(flow.requests.TakeAnswered()), mostAnswered)
+	})
+}
+
+func TestSpeedsAreAsOfTheMeanOfAService(t *testing.T) {
+	made := newSite(t)
+	told := map[uint32]float64{Of(100): 0.6, Of(101): 1.8, Of(200): 3}
+	made.table.SetSpeeds(made.now, func(token uint32) (float64, bool) {
+		times, isKnown := told[token]
+		return times, isKnown
+	})
+	for identifier, wanted := range map[uint64]float64{100: 0.5, 101: 1.5, 102: 1, 200: 1, 201: 1} {
+		found := made.table.targets[Of(identifier)].Signal.Speed(made.now)
+		assert.Assert(t, math.Abs(found-wanted) < 1e-9, "%d: %f", identifier, found)
+	}
+}
