--- a/internal/node/followed_loads.go
+++ b/internal/node/followed_loads.go
@@ -30,12 +30,14 @@
 		table.SetOpen(func(token uint32) int { return own[token] })
 	}
 	n.plane.setKnowsOpen()
+	n.shareSpeeds(now, table)
 }
 
-// hearLoads takes in what daemons of the zone told.
+// hearLoads takes in what daemons of the zone told of open flows, and of speeds behind that.
 func (n *Followed) hearLoads(now time.Time, messages [][]byte) {
 	for _, message := range messages {
-		if n.loads.Hear(now, message) > 0 {
+		others := message[len(message)-n.loads.Hear(now, message):]
+		if n.speeds.Hear(now, others) > 0 {
 			n.counters().loadsUnread.Add(1)
 		}
 	}
--- /dev/null
+++ b/internal/node/followed_speeds.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"time"
+
+	"github.com/passtray/passtray/internal/loadshare"
+	"github.com/passtray/passtray/internal/steering/token"
+)
+
+// estimatesInterval is how often what was told of speeds is put together: observations fade
+// over many seconds.
+const estimatesInterval = time.Second
+
+// nearMessage is what the zone's daemons are told: of speeds, and of open flows in what is
+// left.
+func (n *Followed) nearMessage(now time.Time) []byte {
+	speeds := n.speeds.Message(now)
+	return append(n.loads.MessageWithin(now, loadshare.MaximumBytes-len(speeds)), speeds...)
+}
+
+// shareSpeeds tells the zone's daemons how fast targets answered here, and the targets'
+// signals how fast they work by what all of them saw.
+func (n *Followed) shareSpeeds(now time.Time, table *token.Table) {
+	for _, answered := range n.plane.answered() {
+		n.speeds.Note(now, loadshare.MarkOf(answered.Token), answered.Times)
+		n.counters().speedAnswers.Add(1)
+	}
+	n.speeds.Tick(now)
+	if now.Before(n.nextEstimates) {
+		return
+	}
+	n.nextEstimates = now.Add(estimatesInterval)
+	n.estimates = n.speeds.Estimates(now)
+	table.SetSpeeds(now, func(token uint32) (float64, bool) {
+		estimate, isKnown := n.estimates[loadshare.MarkOf(token)]
+		return estimate.Speed, isKnown
+	})
+}
+
+// speedOf returns a target's speed as the choice uses it, and on how many answers it rests,
+// 0 and 0 if nothing is known.
+func (n *Followed) speedOf(now time.Time, identifier uint64) (speed, answers float64) {
+	estimate, isKnown := n.estimates[loadshare.MarkOf(token.Of(identifier))]
+	table := n.plane.table.Load()
+	if !isKnown || table == nil {
+		return 0, 0
+	}
+	speed, _ = table.SpeedOf(now, identifier)
+	return speed, estimate.Observations
+}
