--- /dev/null
+++ b/internal/simulation/speedload.go
@@ -0,0 +1,330 @@
+package simulation
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/passtray/passtray/internal/balance"
+	"github.com/passtray/passtray/internal/loadshare"
+	"github.com/passtray/passtray/internal/targetspeed"
+)
+
+// SpeedLoadConfig is a zone's load on targets that work at different speeds: long flows
+// with requests now and then, and requests with a flow each.
+type SpeedLoadConfig struct {
+	Daemons, Targets int
+	// Speeds are those of the targets, by turns; Fleet is how many daemons there are in all
+	// zones, among which what targets can take is shared.
+	Speeds []float64
+	Fleet  int
+	// Feeds are open at a time, for FeedLife on average, with requests that follow
+	// FeedPause after the last answer and take FeedWork of a slot.
+	Feeds               int
+	FeedLife, FeedPause time.Duration
+	FeedWork            time.Duration
+	// FreshPerSecond requests open a flow of their own and take FreshWork.
+	FreshPerSecond float64
+	FreshWork      time.Duration
+	// LateShare of the answers are acknowledged only after another pause.
+	LateShare float64
+	// Queue is how many requests wait at a target before it turns others away.
+	Queue int
+	// Learns says whether speeds are learned and told, and Liars how many daemons tell that
+	// every other target is four times as fast and the others four times as slow.
+	Learns bool
+	Liars  int
+	// SlowFrom and SlowUntil bound the time in which SlowTargets, the first ones, work at a
+	// quarter of their speed; with IsCold they start anew then and say so.
+	SlowTargets         int
+	SlowFrom, SlowUntil time.Duration
+	IsCold              bool
+	// What is measured begins at From.
+	From, Span time.Duration
+	Seed       uint64
+}
+
+// SpeedLoadResult is what a run shows, from SpeedLoadConfig.From on.
+type SpeedLoadResult struct {
+	Arrivals, TurnedAway int
+	// BusiestToMean compares targets by the share of the time in which their slots work.
+	BusiestToMean float64
+	P50, P99      time.Duration
+	// Estimates are the speeds that the first daemon knows in the end, by target.
+	Estimates []float64
+	// MessageBytes is how many bytes a second a daemon told on average.
+	MessageBytes float64
+}
+
+// speedPath is from a caller's data by way of a target to the caller's acknowledgement.
+const speedPath = 7 * time.Millisecond
+
+type speedTarget struct {
+	speed float64
+	busy  int
+	queue []func()
+	// worked is how long slots worked.
+	worked time.Duration
+}
+
+type speedDaemon struct {
+	loads      *loadshare.Exchange
+	speeds     *targetspeed.Exchange
+	candidates []balance.Candidate
+	open       map[uint32]int
+	// usual are the usual latencies of the two kinds of requests.
+	usual [2]usualLatency
+	lies  bool
+}
+
+// usualLatency follows a median as the data path does.
+type usualLatency struct {
+	count  int
+	median float64
+}
+
+func (u *usualLatency) note(latency time.Duration) (times float64, isKnown bool) {
+	const learnedAfter, step = 32, 0.05
+	times, isKnown = float64(latency)/u.median, u.count > learnedAfter
+	switch u.count++; {
+	case u.count == 1:
+		u.median = float64(latency)
+	case float64(latency) > u.median:
+		u.median *= 1 + step
+	default:
+		u.median /= 1 + step
+	}
+	return times, isKnown
+}
+
+type speedLoad struct {
+	config    SpeedLoadConfig
+	clock     *Clock
+	random    *rand.Rand
+	begun     time.Time
+	targets   []*speedTarget
+	daemons   []*speedDaemon
+	latencies []time.Duration
+	result    SpeedLoadResult
+	bytes     int
+}
+
+// SpeedLoad plays a zone's load in virtual time.
+func SpeedLoad(config SpeedLoadConfig) SpeedLoadResult {
+	run := &speedLoad{config: config, clock: NewClock(), random: rand.New(rand.NewPCG(config.Seed, 34))}
+	run.begun = run.clock.Now()
+	for index := range config.Targets {
+		run.targets = append(run.targets, &speedTarget{speed: config.Speeds[index%len(config.Speeds)]})
+	}
+	for index := range config.Daemons {
+		run.daemons = append(run.daemons, run.newDaemon(index))
+	}
+	for range config.Feeds {
+		run.clock.After(time.Duration(run.random.Int64N(int64(time.Second))), run.feed)
+	}
+	run.fresh()
+	if config.SlowTargets > 0 {
+		run.clock.After(config.SlowFrom, func() { run.slow(0.25) })
+		run.clock.After(config.SlowUntil, func() { run.slow(4) })
+	}
+	run.clock.Advance(config.Span)
+	return run.finish()
+}
+
+func (s *speedLoad) newDaemon(index int) *speedDaemon {
+	self := machineAddress(index)
+	daemon := &speedDaemon{
+		loads: loadshare.New(self, 0), speeds: targetspeed.NewExchange(self, 0),
+		open: map[uint32]int{}, lies: index >= s.config.Daemons-s.config.Liars,
+	}
+	for range s.targets {
+		daemon.candidates = append(daemon.candidates, balance.Candidate{Signal: &balance.Signal{}, Weight: slotsPerTarget, Slots: slotsPerTarget, Zone: zoneName})
+	}
+	s.clock.After(time.Duration(s.random.Int64N(int64(zoneGossipInterval))), func() { s.gossip(daemon) })
+	return daemon
+}
+
+// gossip lets a daemon tell some others what it knows, and use what it heard.
+func (s *speedLoad) gossip(daemon *speedDaemon) {
+	now := s.clock.Now()
+	daemon.loads.Tick(now, func() map[uint32]int { return daemon.open })
+	if daemon.lies {
+		for index := range s.targets {
+			daemon.speeds.Note(now, loadshare.MarkOf(zoneToken(index)), []float64{0.25, 4}[index%2])
+		}
+	}
+	daemon.speeds.Tick(now)
+	for range zoneGossipFanout {
+		var told []byte
+		if s.config.Learns {
+			told = daemon.speeds.Message(now)
+		}
+		message := append(daemon.loads.MessageWithin(now, loadshare.MaximumBytes-len(told)), told...)
+		s.bytes += len(message)
+		other := s.daemons[s.random.IntN(len(s.daemons))]
+		other.speeds.Hear(now, message[len(message)-other.loads.Hear(now, message):])
+	}
+	totals, areWhole := daemon.loads.Totals(now)
+	estimates := daemon.speeds.Estimates(now)
+	for index := range daemon.candidates {
+		signal := daemon.candidates[index].Signal
+		open := daemon.open[zoneToken(index)]
+		if areWhole {
+			open = totals[loadshare.MarkOf(zoneToken(index))]
+		}
+		signal.SetOpen(open)
+		if estimate, isKnown := estimates[loadshare.MarkOf(zoneToken(index))]; isKnown && s.config.Learns {
+			signal.SetSpeed(now, estimate.Speed)
+		}
+	}
+	s.clock.After(zoneGossipInterval, func() { s.gossip(daemon) })
+}
+
+// slow changes the speed of some targets. Cold ones are new: nothing is known of them.
+func (s *speedLoad) slow(times float64) {
+	for index := range s.config.SlowTargets {
+		s.targets[index].speed *= times
+		if !s.config.IsCold || times > 1 {
+			continue
+		}
+		for _, daemon := range s.daemons {
+			daemon.candidates[index].WarmAt = s.begun.Add(s.config.SlowUntil)
+		}
+	}
+}
+
+// pick lets a daemon choose a target and calls with it; a flow for which all have enough to
+// do waits.
+func (s *speedLoad) pick(daemon *speedDaemon, then func(index int)) {
+	now := s.clock.Now()
+	request := balance.Request{Now: now, Zone: zoneName, LeaseHeld: true, Excluded: -1, PrefersZone: true, KnowsOpen: true, Daemons: s.config.Fleet}
+	index := balance.Pick(&request, daemon.candidates, s.random)
+	if index < 0 {
+		s.clock.After(10*time.Millisecond, func() { s.pick(daemon, then) })
+		return
+	}
+	daemon.candidates[index].Signal.NotePick(now)
+	s.clock.After(speedPath, func() { daemon.candidates[index].Signal.NoteOpened(s.clock.Now()) })
+	then(index)
+}
+
+func (s *speedLoad) anyDaemon() *speedDaemon { return s.daemons[s.random.IntN(len(s.daemons))] }
+
+func (s *speedLoad) exponential(mean time.Duration) time.Duration {
+	return time.Duration(s.random.ExpFloat64() * float64(mean))
+}
+
+// feed opens a long flow, which is followed by another.
+func (s *speedLoad) feed() {
+	daemon := s.anyDaemon()
+	s.pick(daemon, func(index int) {
+		daemon.open[zoneToken(index)]++
+		s.feedRequests(daemon, index, s.clock.Now().Add(s.exponential(s.config.FeedLife)))
+	})
+}
+
+func (s *speedLoad) feedRequests(daemon *speedDaemon, index int, ends time.Time) {
+	s.request(daemon, index, 0, s.config.FeedWork, func(isServed bool) {
+		s.clock.After(s.exponential(s.config.FeedPause), func() {
+			if isServed && s.clock.Now().Before(ends) {
+				s.feedRequests(daemon, index, ends)
+				return
+			}
+			if daemon.open[zoneToken(index)]--; daemon.open[zoneToken(index)] == 0 {
+				delete(daemon.open, zoneToken(index))
+			}
+			s.feed()
+		})
+	})
+}
+
+// fresh lets requests with a flow each arrive.
+func (s *speedLoad) fresh() {
+	if s.config.FreshPerSecond <= 0 {
+		return
+	}
+	s.clock.After(s.exponential(time.Duration(float64(time.Second)/s.config.FreshPerSecond)), func() {
+		daemon := s.anyDaemon()
+		s.pick(daemon, func(index int) { s.request(daemon, index, 1, s.config.FreshWork, func(bool) {}) })
+		s.fresh()
+	})
+}
+
+// request takes a request to a target and calls when it is over.
+func (s *speedLoad) request(daemon *speedDaemon, index, kind int, mean time.Duration, over func(isServed bool)) {
+	begun, target, signal := s.clock.Now(), s.targets[index], daemon.candidates[index].Signal
+	isMeasured := begun.Sub(s.begun) >= s.config.From
+	if isMeasured {
+		s.result.Arrivals++
+	}
+	if target.busy >= slotsPerTarget && len(target.queue) >= s.config.Queue {
+		if isMeasured {
+			s.result.TurnedAway++
+		}
+		s.clock.After(speedPath, func() { over(false) })
+		return
+	}
+	signal.NoteWaiting(1)
+	s.serve(target, mean, func() {
+		s.clock.After(speedPath, func() {
+			signal.NoteWaiting(-1)
+			s.answered(daemon, index, kind, begun)
+			over(true)
+		})
+	})
+}
+
+// answered lets a daemon see that an answer began.
+func (s *speedLoad) answered(daemon *speedDaemon, index, kind int, begun time.Time) {
+	now := s.clock.Now()
+	latency := now.Sub(begun)
+	if begun.Sub(s.begun) >= s.config.From {
+		s.latencies = append(s.latencies, latency)
+	}
+	if s.random.Float64() < s.config.LateShare {
+		latency += s.exponential(s.config.FeedPause)
+	}
+	if times, isKnown := daemon.usual[kind].note(latency - speedPath); isKnown {
+		daemon.candidates[index].Signal.NoteLatency(now, times)
+		if !daemon.lies && !now.Before(daemon.candidates[index].WarmAt) {
+			daemon.speeds.Note(now, loadshare.MarkOf(zoneToken(index)), times)
+		}
+	}
+}
+
+// serve runs a request in one of the target's slots, now or when one is free.
+func (s *speedLoad) serve(target *speedTarget, mean time.Duration, then func()) {
+	if target.busy >= slotsPerTarget {
+		target.queue = append(target.queue, func() { s.serve(target, mean, then) })
+		return
+	}
+	const spread = 0.5
+	work := float64(mean) * math.Exp(spread*s.random.NormFloat64()-spread*spread/2) / target.speed
+	target.busy++
+	if s.clock.Now().Sub(s.begun) >= s.config.From {
+		target.worked += time.Duration(work)
+	}
+	s.clock.After(time.Duration(work), func() {
+		target.busy--
+		if len(target.queue) > 0 {
+			next := target.queue[0]
+			target.queue = target.queue[1:]
+			next()
+		}
+		then()
+	})
+}
+
+func (s *speedLoad) finish() SpeedLoadResult {
+	var worked []float64
+	for index, target := range s.targets {
+		worked = append(worked, target.worked.Seconds())
+		s.result.Estimates = append(s.result.Estimates, s.daemons[0].candidates[index].Signal.Speed(s.clock.Now()))
+	}
+	slices.Sort(s.latencies)
+	s.result.BusiestToMean = maxToMean(worked)
+	s.result.P50, s.result.P99 = s.latencies[len(s.latencies)/2], s.latencies[len(s.latencies)*99/100]
+	s.result.MessageBytes = float64(s.bytes) / s.config.Span.Seconds() / float64(len(s.daemons))
+	return s.result
+}
--- /dev/null
+++ b/internal/simulation/speedload_test.go
@@ -0,0 +1,160 @@
+package simulation
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// unequal are speeds of a service of which one target in four is old.
+var unequal = []float64{0.55, 1.2, 1.2, 1.2}
+
+// speedLoadAt is a zone of 30 targets whose slots are busy for 0.14 of the time at the usual
+// load and for 0.7 at five times that.
+func speedLoadAt(daemons int, times float64) SpeedLoadConfig {
+	return SpeedLoadConfig{
+		Daemons: daemons, Targets: 30, Speeds: unequal, Fleet: 4 * daemons,
+		Feeds: int(60 * times), FeedLife: 8 * time.Second, FeedPause: 220 * time.Millisecond, FeedWork: 30 * time.Millisecond,
+		FreshPerSecond: 62 * times, FreshWork: 39 * time.Millisecond,
+		LateShare: 0.02, Queue: 8, Learns: true, From: 10 * time.Second, Span: 25 * time.Second, Seed: 1,
+	}
+}
+
+// meanSpeedLoad is the sum of counts and the mean of the rest over some seeds, learning
+// speeds or not.
+func meanSpeedLoad(config SpeedLoadConfig, learns bool) SpeedLoadResult {
+	const seeds = 2
+	var mean SpeedLoadResult
+	for seed := range uint64(seeds) {
+		config.Seed, config.Learns = seed, learns
+		result := SpeedLoad(config)
+		mean.Arrivals += result.Arrivals
+		mean.TurnedAway += result.TurnedAway
+		mean.BusiestToMean += result.BusiestToMean / seeds
+		mean.P50 += result.P50 / seeds
+		mean.P99 += result.P99 / seeds
+		mean.MessageBytes += result.MessageBytes / seeds
+		mean.Estimates = result.Estimates
+	}
+	return mean
+}
+
+func logSpeedLoad(t *testing.T, without, with SpeedLoadResult) {
+	t.Helper()
+	t.Logf("turned away %d to %d of %d, busiest %.2f to %.2f, p50 %s to %s, p99 %s to %s, %.0f to %.0f B/s, estimates %.2f",
+		without.TurnedAway, with.TurnedAway, with.Arrivals, without.BusiestToMean, with.BusiestToMean,
+		without.P50.Round(time.Millisecond), with.P50.Round(time.Millisecond),
+		without.P99.Round(time.Millisecond), with.P99.Round(time.Millisecond), without.MessageBytes, with.MessageBytes, with.Estimates)
+}
+
+// TestTargetsWorkAsTheirSpeeds in zones of fleets with 12, 88 and 350 daemons. Without learned
+// speeds the larger ones fail.
+func TestTargetsWorkAsTheirSpeeds(t *testing.T) {
+	for _, daemons := range []int{3, 22, 88} {
+		t.Run(fmt.Sprintf("%d daemons", daemons), func(t *testing.T) {
+			if testing.Short() && daemons > 22 {
+				t.Skip("takes long")
+			}
+			config := speedLoadAt(daemons, 5)
+			without, with := meanSpeedLoad(config, false), meanSpeedLoad(config, true)
+			logSpeedLoad(t, without, with)
+			assert.Assert(t, with.BusiestToMean < 1.2)
+			assert.Assert(t, with.MessageBytes < 2100)
+			if daemons < 22 {
+				assert.Assert(t, with.P99 < without.P99*105/100)
+				return
+			}
+			assert.Assert(t, without.BusiestToMean > 1.2)
+			assert.Assert(t, with.P99 < without.P99*8/10)
+			if daemons == 88 {
+				assert.Assert(t, without.TurnedAway > 400 && with.TurnedAway < without.TurnedAway/2)
+			}
+		})
+	}
+	t.Run("at the usual load", func(t *testing.T) {
+		config := speedLoadAt(22, 1)
+		without, with := meanSpeedLoad(config, false), meanSpeedLoad(config, true)
+		logSpeedLoad(t, without, with)
+		assert.Assert(t, with.BusiestToMean < without.BusiestToMean*9/10)
+		assert.Assert(t, with.P99 < without.P99)
+	})
+}
+
+// TestEqualTargetsAreNoWorseOff than without learned speeds: what estimates differ by is noise.
+func TestEqualTargetsAreNoWorseOff(t *testing.T) {
+	for _, daemons := range []int{3, 22, 88} {
+		t.Run(fmt.Sprintf("%d daemons", daemons), func(t *testing.T) {
+			if testing.Short() && daemons > 22 {
+				t.Skip("takes long")
+			}
+			config := speedLoadAt(daemons, 5)
+			config.Speeds = []float64{1}
+			without, with := meanSpeedLoad(config, false), meanSpeedLoad(config, true)
+			logSpeedLoad(t, without, with)
+			assert.Assert(t, with.P99 < without.P99*105/100)
+			assert.Assert(t, with.BusiestToMean < without.BusiestToMean*1.05)
+			assert.Assert(t, with.TurnedAway < without.TurnedAway*115/100+10)
+		})
+	}
+}
+
+// estimateOfFirst is the speed of a zone's first target, one of equal ones that is slow for
+// twenty seconds or cold for three, as it is known after a span.
+func estimateOfFirst(isCold bool, span time.Duration) float64 {
+	config := speedLoadAt(22, 3)
+	config.Speeds, config.IsCold, config.Span = []float64{1}, isCold, span
+	config.SlowTargets, config.SlowFrom, config.SlowUntil = 1, 10*time.Second, 30*time.Second
+	if isCold {
+		config.SlowUntil = 13 * time.Second
+	}
+	return SpeedLoad(config).Estimates[0]
+}
+
+func TestSpeedsFollowTargets(t *testing.T) {
+	t.Run("one that turned slow is known to be", func(t *testing.T) {
+		speed := estimateOfFirst(false, 30*time.Second)
+		assert.Assert(t, speed < 0.6, "%.2f", speed)
+	})
+	t.Run("one that recovered is as the others again", func(t *testing.T) {
+		speed := estimateOfFirst(false, 60*time.Second)
+		assert.Assert(t, speed > 0.85, "%.2f", speed)
+	})
+	t.Run("one that was cold is not remembered as slow", func(t *testing.T) {
+		speed := estimateOfFirst(true, 14*time.Second)
+		assert.Assert(t, speed > 0.85, "%.2f", speed)
+	})
+}
+
+// TestADaemonThatLiesMovesLittle of what honest ones know. It chooses badly itself, and sees a
+// part of the flows.
+func TestADaemonThatLiesMovesLittle(t *testing.T) {
+	for _, daemons := range []int{3, 22} {
+		config := speedLoadAt(daemons, 5)
+		without, honest := meanSpeedLoad(config, false), meanSpeedLoad(config, true)
+		config.Liars = 1
+		lied := meanSpeedLoad(config, true)
+		logSpeedLoad(t, honest, lied)
+		for index := range 4 {
+			moved := math.Abs(meanEvery4(lied.Estimates, index) - meanEvery4(honest.Estimates, index))
+			assert.Assert(t, moved < 0.1, "%.2f", moved)
+		}
+		assert.Assert(t, lied.BusiestToMean < honest.BusiestToMean*1.1)
+		if daemons == 22 {
+			assert.Assert(t, lied.P99 < (honest.P99+without.P99)/2)
+		}
+	}
+}
+
+// meanEvery4 is the mean of every fourth value from an index on.
+func meanEvery4(values []float64, from int) float64 {
+	var sum float64
+	count := 0
+	for ; from < len(values); from += 4 {
+		sum += values[from]
+		count++
+	}
+	return sum / float64(count)
+}
