--- a/internal/targetspeed/estimate.go
+++ b/internal/targetspeed/estimate.go
@@ -42,7 +42,7 @@
 	for target, reporters := range e.heard {
 		for _, told := range reporters {
 			if weight := told.weightAt(now); weight >= leastWeight {
-				opinions[target] = append(opinions[target], opinion{told.times, weight})
+				opinions[target] = append(opinions[target], opinion{float64(told.times), weight})
 			}
 		}
 	}
--- a/internal/targetspeed/exchange.go
+++ b/internal/targetspeed/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"maps"
 	"math"
 	"net/netip"
@@ -43,15 +44,23 @@
 	sent int
 }
 
+// reporter is a daemon's address and port in six bytes: there are as many as told.
+type reporter uint64
+
+func reporterOf(address netip.AddrPort) reporter {
+	host := address.Addr().As4()
+	return reporter(binary.BigEndian.Uint32(host[:]))<<16 | reporter(address.Port())
+}
+
 // told is what counts of a reporter on a target.
 type told struct {
-	at     time.Time
-	times  float64
-	weight float64
+	at            int64 // Unix nanoseconds
+	times, weight float32
 }
 
 func (t told) weightAt(now time.Time) float64 {
-	return t.weight * math.Exp(-max(0, now.Sub(t.at).Seconds())/memory.Seconds())
+	age := time.Duration(now.UnixNano() - t.at)
+	return float64(t.weight) * math.Exp(-max(0, age.Seconds())/memory.Seconds())
 }
 
 // Exchange is one daemon's part. It is not safe for concurrent use.
@@ -61,7 +70,7 @@
 	nextOwn time.Time
 	meter   *Meter
 	reports map[netip.AddrPort]*report
-	heard   map[loadshare.Mark]map[netip.AddrPort]told
+	heard   map[loadshare.Mark]map[reporter]told
 }
 
 // NewExchange makes the part of a daemon that others know by an address of the fourth
@@ -69,7 +78,7 @@
 func NewExchange(self netip.AddrPort, number uint32) *Exchange {
 	return &Exchange{
 		self: self, number: number, meter: NewMeter(),
-		reports: map[netip.AddrPort]*report{}, heard: map[loadshare.Mark]map[netip.AddrPort]told{},
+		reports: map[netip.AddrPort]*report{}, heard: map[loadshare.Mark]map[reporter]told{},
 	}
 }
 
@@ -95,7 +104,7 @@
 
 func (e *Exchange) forget(now time.Time) {
 	for target, reporters := range e.heard {
-		maps.DeleteFunc(reporters, func(_ netip.AddrPort, held told) bool { return held.weightAt(now) < leastWeight })
+		maps.DeleteFunc(reporters, func(_ reporter, held told) bool { return held.weightAt(now) < leastWeight })
 		if len(reporters) == 0 {
 			delete(e.heard, target)
 		}
@@ -131,28 +140,28 @@
 	}
 	e.reports[from] = heard
 	for _, entry := range heard.entries {
-		e.hear(now, from, heard.at, entry)
+		e.hear(now, reporterOf(from), heard.at, entry)
 	}
 }
 
-func (e *Exchange) hear(now time.Time, from netip.AddrPort, at time.Time, entry entry) {
+func (e *Exchange) hear(now time.Time, from reporter, at time.Time, entry entry) {
 	reporters := e.heard[entry.target]
 	if reporters == nil {
 		if len(e.heard) >= mostTargets {
 			return
 		}
-		reporters = map[netip.AddrPort]told{}
+		reporters = map[reporter]told{}
 		e.heard[entry.target] = reporters
 	}
 	if _, isKnown := reporters[from]; !isKnown && len(reporters) >= mostReporters {
 		delete(reporters, faintest(now, reporters))
 	}
-	reporters[from] = told{at: at, times: entry.times, weight: min(entry.weight, mostWeight)}
+	reporters[from] = told{at: at.UnixNano(), times: float32(entry.times), weight: float32(min(entry.weight, mostWeight))}
 }
 
 // faintest is the reporter whose word counts least.
-func faintest(now time.Time, reporters map[netip.AddrPort]told) netip.AddrPort {
-	return slices.MinFunc(slices.Collect(maps.Keys(reporters)), func(a, b netip.AddrPort) int {
-		return cmp.Or(cmp.Compare(reporters[a].weightAt(now), reporters[b].weightAt(now)), a.Compare(b))
+func faintest(now time.Time, reporters map[reporter]told) reporter {
+	return slices.MinFunc(slices.Collect(maps.Keys(reporters)), func(a, b reporter) int {
+		return cmp.Or(cmp.Compare(reporters[a].weightAt(now), reporters[b].weightAt(now)), cmp.Compare(a, b))
 	})
 }
