Overload: a bound on a service's work through one daemon

Cause: a daemon's share of three requests a slot at each target is at least one. With 88 daemons before 120 targets that is 10,560 requests, and the targets' own queues turn away what is too much after callers have waited there. Ruled out: an equal part for each daemon alone (callers are spread by chance, and what slow targets can take is not known); rights lent between daemons (messages, and a fleet that disagrees on its members lends too much). Change: a controller for each service. Its bound falls with each answer that is a rejection and rises with others while it is felt, never below the equal part of the slots; without rejections there is none. Conclusion: nothing uses it yet.

--- /dev/null
+++ b/internal/overload/overload_test.go
@@ -0,0 +1,159 @@
+package overload
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+const (
+	route      = 1
+	answerSize = 1100
+	rejectSize = 150
+)
+
+// learned is a controller that knows how long answers are, one of ten daemons before 40 slots.
+func learned(t *testing.T) *Controller {
+	t.Helper()
+	controller := New(DefaultConfig())
+	controller.SetShare(40, 10)
+	for range 2 * learnedAfter {
+		assert.Assert(t, !controller.NoteAnswer(start, route, answerSize))
+	}
+	return controller
+}
+
+// rejected is a controller whose targets have turned some requests away.
+func rejected(t *testing.T, count int) *Controller {
+	t.Helper()
+	controller := learned(t)
+	for range count {
+		assert.Assert(t, controller.NoteAnswer(start, route, rejectSize))
+	}
+	return controller
+}
+
+// admitted counts how many requests of a rank go on.
+func admitted(controller *Controller, now time.Time, rank Rank) int {
+	for count := range 100 {
+		if !controller.Admit(now, rank) {
+			return count
+		}
+		controller.Begin(rank)
+	}
+	return 100
+}
+
+func TestNothingIsBoundedWhileTargetsTurnNothingAway(t *testing.T) {
+	assert.Equal(t, admitted(learned(t), start, Ordinary), 100)
+}
+
+func TestFewRejectionsSayNothingOfAService(t *testing.T) {
+	assert.Equal(t, admitted(rejected(t, evidenceLeast-1), start, Ordinary), 100)
+}
+
+func TestRejectionsBoundWorkAtNoLessThanTheEqualPart(t *testing.T) {
+	controller := rejected(t, 100)
+	assert.Equal(t, admitted(controller, start, Ordinary), 4)
+	assert.Assert(t, !controller.Admit(start, Ordinary))
+	controller.End(Ordinary)
+	assert.Assert(t, controller.Admit(start, Ordinary), "the next goes on when one has ended")
+}
+
+func TestPreferredWorkGoesOnWhereOrdinaryWorkHasTakenAll(t *testing.T) {
+	controller := rejected(t, 100)
+	admitted(controller, start, Ordinary)
+	assert.Assert(t, controller.Admit(start, Preferred))
+	t.Run("and takes room from ordinary work", func(t *testing.T) {
+		controller := rejected(t, 100)
+		admitted(controller, start, Preferred)
+		assert.Equal(t, admitted(controller, start, Ordinary), 0)
+	})
+}
+
+func TestOrdinaryWorkIsNotStarvedForGood(t *testing.T) {
+	controller := rejected(t, 100)
+	admitted(controller, start, Preferred)
+	count := 0
+	for tick := range 100 {
+		if controller.AdmitFlow(start.Add(time.Duration(tick)*100*time.Millisecond), Ordinary) {
+			count++
+		}
+		controller.rejectedAt = start.Add(time.Duration(tick) * 100 * time.Millisecond)
+	}
+	assert.Equal(t, count, 10, "one in floorInterval")
+}
+
+func TestTheBoundRisesWithAnswersWhileItIsFelt(t *testing.T) {
+	controller := rejected(t, 100)
+	before, _ := controller.Bound(start)
+	admitted(controller, start, Ordinary)
+	for range 100 {
+		controller.NoteAnswer(start, route, answerSize)
+	}
+	after, _ := controller.Bound(start)
+	assert.Assert(t, after > 2*before, "%v after %v", after, before)
+	t.Run("and not while nobody feels it", func(t *testing.T) {
+		controller := rejected(t, 100)
+		before, _ := controller.Bound(start)
+		for range 100 {
+			controller.NoteAnswer(start, route, answerSize)
+		}
+		after, _ := controller.Bound(start)
+		assert.Equal(t, after, before)
+	})
+}
+
+func TestTheBoundIsTakenBackWhenAllIsCalm(t *testing.T) {
+	controller := rejected(t, 100)
+	_, isBound := controller.Bound(start.Add(calm - time.Millisecond))
+	assert.Assert(t, isBound)
+	_, isBound = controller.Bound(start.Add(calm))
+	assert.Assert(t, !isBound)
+}
+
+func TestWhereSharesAreNotKnownNothingIsBounded(t *testing.T) {
+	for name, known := range map[string][2]int{"no daemons": {40, 0}, "no targets": {0, 10}} {
+		t.Run(name, func(t *testing.T) {
+			controller := rejected(t, 100)
+			controller.SetShare(known[0], known[1])
+			assert.Equal(t, admitted(controller, start, Ordinary), 100)
+		})
+	}
+	t.Run("switched off", func(t *testing.T) {
+		controller := rejected(t, 100)
+		controller.config.Enabled = false
+		assert.Equal(t, admitted(controller, start, Ordinary), 100)
+	})
+}
+
+func TestADaemonOfALargeFleetServesOneAtATime(t *testing.T) {
+	controller := rejected(t, 100)
+	controller.SetShare(40, 350)
+	controller.bound = 0
+	controller.SetShare(40, 350)
+	assert.Equal(t, admitted(controller, start, Ordinary), 1)
+}
+
+// TestRejectionsDoNotBecomeUsual: under overload most answers are rejections.
+func TestRejectionsDoNotBecomeUsual(t *testing.T) {
+	controller := learned(t)
+	for range 1000 {
+		assert.Assert(t, controller.NoteAnswer(start, route, rejectSize))
+	}
+	assert.Assert(t, !controller.NoteAnswer(start, route, answerSize))
+}
+
+func TestANewFlowCountsUntilItsWorkIsSeen(t *testing.T) {
+	controller := learned(t)
+	controller.Opened(start, Ordinary)
+	assert.Equal(t, controller.InProgress(start, Ordinary), 1.0)
+	controller.Established(start, Ordinary)
+	controller.Begin(Ordinary)
+	assert.Equal(t, controller.InProgress(start, Ordinary), 1.0)
+	controller.Opened(start, Preferred)
+	assert.Assert(t, controller.InProgress(start.Add(10*openingLife), Preferred) < 0.01, "a flow that is given up")
+}
