Steering by token: work of a service that has no room is held or refused

Cause: nobody decides who waits, who is told at once and who goes first while callers ask for more than targets can serve. Change: a new flow that its service has no room for is held for at most a sixth of its route's objective and 100 ms, then refused; a request of ordinary rank on an open flow is held for at most 190 ms and then goes on, since a reset would break a flow whose target is well. Conclusion: off until a builder is told how work is bounded.

--- a/internal/steering/token/builder.go
+++ b/internal/steering/token/builder.go
@@ -1,11 +1,13 @@
 package token
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
 	"github.com/passtray/passtray/internal/balance"
 	"github.com/passtray/passtray/internal/followed"
+	"github.com/passtray/passtray/internal/overload"
 )
 
 // Builder makes tables and keeps what must outlive one: signals of targets,
@@ -13,6 +15,9 @@
 type Builder struct {
 	signals map[uint64]*balance.Signal
 	routes  routeBuilder
+	// overload is how the work of services is bounded, loads what each has in progress.
+	overload overload.Config
+	loads    map[string]*overload.Controller
 }
 
 // NewBuilder makes a builder that remembers for retention what went.
@@ -20,9 +25,24 @@
 	return &Builder{
 		signals: map[uint64]*balance.Signal{},
 		routes:  newRouteBuilder(retention),
+		loads:   map[string]*overload.Controller{},
 	}
 }
 
+// SetOverload says how the work of services is bounded that are not known yet. Without it
+// nothing is.
+func (b *Builder) SetOverload(config overload.Config) { b.overload = config }
+
+// loadOf returns what is known of a service's work, which outlives tables.
+func (b *Builder) loadOf(service string) *overload.Controller {
+	load := b.loads[service]
+	if load == nil {
+		load = overload.New(b.overload)
+		b.loads[service] = load
+	}
+	return load
+}
+
 // Build makes the table of a view. It returns nil without a configuration.
 func (b *Builder) Build(now time.Time, view *followed.View) *Table {
 	configuration := view.Configuration()
@@ -38,17 +58,32 @@
 	}
 	table.routes, table.dropped = b.routes.build(now, configuration)
 	b.addTargets(table, view)
+	b.forgetLoads(table)
 	return table
 }
 
 func (b *Builder) services(configuration *followed.Configuration) map[string]*Service {
 	services := make(map[string]*Service, len(configuration.Services))
 	for _, declared := range configuration.Services {
-		services[declared.Name] = &Service{Name: declared.Name}
+		services[declared.Name] = &Service{Name: declared.Name, Load: b.loadOf(declared.Name)}
 	}
 	return services
 }
 
+// forgetLoads forgets the work of services that neither stand in a table nor have targets.
+func (b *Builder) forgetLoads(table *Table) {
+	if len(b.loads) == len(table.services) {
+		return
+	}
+	used := map[string]bool{}
+	for _, target := range table.targets {
+		used[target.Service] = true
+	}
+	maps.DeleteFunc(b.loads, func(service string, _ *overload.Controller) bool {
+		return table.services[service] == nil && !used[service]
+	})
+}
+
 // evacuatedZones returns the zones whose targets get no new flows.
 func evacuatedZones(view *followed.View) map[string]bool {
 	zones := map[string]bool{}
@@ -109,6 +144,7 @@
 		target := &Target{
 			Identifier: described.Identifier, Token: Of(described.Identifier), Service: described.Service,
 			Zone: described.Zone, Address: described.Address, Signal: signal,
+			Load:        b.loadOf(described.Service),
 			MayOpen:     !described.Gone && !described.Draining && !evacuated[described.Zone],
 			IsEvacuated: evacuated[described.Zone],
 			IsLapsed:    described.Gone && !described.Draining, LearnedAt: described.LearnedAt,
--- a/internal/steering/token/opener.go
+++ b/internal/steering/token/opener.go
@@ -8,6 +8,7 @@
 	"github.com/passtray/passtray/internal/balance"
 	"github.com/passtray/passtray/internal/followed"
 	"github.com/passtray/passtray/internal/outlier"
+	"github.com/passtray/passtray/internal/overload"
 	"github.com/passtray/passtray/internal/ownership"
 )
 
@@ -38,6 +39,8 @@
 	// says that the last pick found only targets with enough to do.
 	daemons int
 	atLimit bool
+	// overloaded is the work of the service that the last pick was for, if it has no room.
+	overloaded *overload.Controller
 	// knowsOpen says that the flows that are open at targets are known.
 	knowsOpen bool
 	lapsed    lapsedCache
@@ -84,6 +87,7 @@
 		return Decision{Action: Refuse, Reason: ReasonNoRoute}
 	}
 	decision := Decision{Action: Forward, Reason: ReasonFirst, Route: route}
+	o.overloaded = nil
 	o.pins.Update(now, flowKey(route, packet), func(held ownership.Pin, found bool) (ownership.Pin, bool) {
 		if found {
 			return o.repeat(now, table, &decision, held)
@@ -96,6 +100,8 @@
 		return decision
 	case decision.Reason == ReasonEvacuated:
 		return Decision{Reason: ReasonEvacuated, Route: route}
+	case o.overloaded != nil:
+		return Decision{Action: Hold, Reason: ReasonOverload, Route: route, load: o.overloaded}
 	case o.atLimit:
 		return Decision{Action: Hold, Reason: ReasonAtLimit, Route: route}
 	case table.isEvacuated(route):
@@ -166,6 +172,7 @@
 		return held, false
 	}
 	decision.Target.Signal.NotePick(now)
+	decision.Target.Load.Opened(now, decision.Route.rank)
 	held.Target = decision.Target.Token
 	held.Created = now
 	return held, true
@@ -178,5 +185,6 @@
 		decision.Target.Signal.NoteAnswered()
 		decision.Target.Signal.NoteLife(now)
 		decision.Target.Signal.NoteOpened(now)
+		decision.Target.Load.Established(now, decision.Route.rank)
 	}
 }
--- /dev/null
+++ b/internal/steering/token/overload.go
@@ -0,0 +1,74 @@
+package token
+
+import (
+	"time"
+
+	"github.com/passtray/passtray/internal/overload"
+)
+
+// Rank returns the rank of the work of a route.
+func (r *Route) Rank() overload.Rank { return r.rank }
+
+// Hold returns how long a packet on the route may wait for its service to have room.
+func (r *Route) Hold(packet *Packet) time.Duration {
+	if packet.IsOpening {
+		return r.hold
+	}
+	return r.dataHold
+}
+
+// Load returns the work of the service that the decision is about, nil if there is none.
+func (d *Decision) Load() *overload.Controller {
+	if d.Target != nil {
+		return d.Target.Load
+	}
+	return d.load
+}
+
+// Restrain turns the decision on a packet into one to hold it if it would add to the work of
+// a service that has no room. waited is for how long the packet did already.
+//
+// A new flow that has waited is refused: nothing has run, and its caller is told while it has
+// time for another try. A request of ordinary rank on an open flow goes on then, since a
+// reset would break a flow whose target is well.
+func (r *Requests) Restrain(now time.Time, decision Decision, packet *Packet, waited time.Duration) Decision {
+	if decision.Route == nil {
+		return decision
+	}
+	hasWaited := waited >= decision.Route.Hold(packet)
+	switch {
+	case decision.Reason == ReasonOverload && hasWaited:
+		decision.Action = Refuse
+	case packet.IsOpening || decision.Action != Forward || hasWaited || decision.Route.rank != overload.Ordinary:
+	case !r.Begins(&decision, packet) || decision.Target.Load.Admit(now, overload.Ordinary):
+	default:
+		decision.Action, decision.Reason = Hold, ReasonOverload
+	}
+	return decision
+}
+
+// SetShares says among how many daemons the work of services is shared, 0 if that is not
+// known.
+func (t *Table) SetShares(now time.Time, daemons int) {
+	for _, service := range t.services {
+		service.Load.SetShare(service.liveSlots(now), daemons)
+	}
+}
+
+// liveSlots counts the slots of targets that may take work.
+func (s *Service) liveSlots(now time.Time) int {
+	slots := 0
+	for index := range s.Candidates {
+		if signal := s.Candidates[index].Signal; !signal.IsDead(now) && !signal.IsEjected(now) {
+			slots += int(s.Candidates[index].Slots)
+		}
+	}
+	return slots
+}
+
+// Loads calls visit with the work of each service.
+func (t *Table) Loads(visit func(service string, load *overload.Controller)) {
+	for name, service := range t.services {
+		visit(name, service.Load)
+	}
+}
--- /dev/null
+++ b/internal/steering/token/overload_test.go
@@ -0,0 +1,100 @@
+package token
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/passtray/passtray/internal/followed"
+	"github.com/passtray/passtray/internal/overload"
+)
+
+// preferredAddress leads to the roster with the highest priority, ordinaryAddress with a low
+// one.
+var preferredAddress, ordinaryAddress = ledgerAddress, rosterAddress
+
+// overloadedSite is a site whose roster turns requests away, and leaves this daemon one.
+func overloadedSite(t *testing.T) *site {
+	t.Helper()
+	site := newSite(t)
+	site.builder = NewBuilder(time.Minute)
+	site.builder.SetOverload(overload.DefaultConfig())
+	backends := []followed.Backend{{Service: "roster", Weight: 1}}
+	site.configure(
+		followed.Route{Address: preferredAddress, Backends: backends, Priority: 1, Objective: 600 * time.Millisecond},
+		followed.Route{Address: ordinaryAddress, Backends: backends, Priority: 2, Objective: 600 * time.Millisecond},
+	)
+	site.table.SetShares(site.now, 100)
+	load, number := site.table.services["roster"].Load, site.table.routes[ordinaryAddress].Number
+	for range 100 {
+		load.NoteAnswer(site.now, number, 1000)
+	}
+	for range 100 {
+		load.NoteAnswer(site.now, number, 100)
+	}
+	load.AdmitFlow(site.now, overload.Ordinary)
+	return site
+}
+
+// openRestrained decides for an opening packet that waited already.
+func (s *site) openRestrained(requests *Requests, number int, waited time.Duration) Decision {
+	packet := &Packet{Source: caller(number), Destination: ordinaryAddress, IsOpening: true}
+	return requests.Restrain(s.now, s.opener.Open(s.now, s.table, packet), packet, waited)
+}
+
+func TestAnOrdinaryFlowWaitsForRoomAndIsThenRefused(t *testing.T) {
+	site, requests := overloadedSite(t), NewRequests(16)
+	assert.Equal(t, site.openRestrained(requests, 1, 0).Action, Forward)
+	site.openRestrained(requests, 2, 0) // one goes on in any case
+	held := site.openRestrained(requests, 3, 0)
+	assert.Equal(t, held.Action, Hold)
+	assert.Equal(t, held.Reason, ReasonOverload)
+	assert.Equal(t, held.Reason.String(), "overload")
+	refused := site.openRestrained(requests, 3, 100*time.Millisecond)
+	assert.Equal(t, refused.Action, Refuse)
+	assert.Equal(t, refused.Reason, ReasonOverload)
+	assert.Equal(t, site.open(preferredAddress, 4).Action, Forward, "preferred work goes before")
+}
+
+func TestARequestOnAnOpenFlowWaitsAndGoesOn(t *testing.T) {
+	site, requests := overloadedSite(t), NewRequests(16)
+	opened := site.open(ordinaryAddress, 1)
+	site.open(ordinaryAddress, 2)
+	data := &Packet{Source: caller(1), Destination: ordinaryAddress, Token: opened.Target.Token, PayloadLength: 10}
+	followed := site.table.Follow(site.now, data)
+	assert.Equal(t, requests.Restrain(site.now, followed, data, 0).Action, Hold)
+	assert.Equal(t, requests.Restrain(site.now, followed, data, time.Second).Action, Forward, "an open flow is never reset")
+	acknowledgement := *data
+	acknowledgement.PayloadLength = 0
+	assert.Equal(t, requests.Restrain(site.now, followed, &acknowledgement, 0).Action, Forward)
+	requests.Note(site.now, &followed, data)
+	assert.Equal(t, requests.Restrain(site.now, followed, data, 0).Action, Forward, "it belongs to a request that went on")
+}
+
+func TestARejectingTargetIsPassedOver(t *testing.T) {
+	site, requests := overloadedSite(t), NewRequests(64)
+	target := site.table.services["roster"].Targets[0]
+	decision := Decision{Action: Forward, Route: site.table.routes[ordinaryAddress], Target: target}
+	for range 3 {
+		packet := &Packet{Source: caller(1), Destination: ordinaryAddress, PayloadLength: 10}
+		requests.Note(site.now, &decision, packet)
+		requests.Note(site.now, &decision, &Packet{Source: caller(1), Destination: ordinaryAddress, Acknowledgement: 100})
+	}
+	counts := map[*Target]int{}
+	for number := range 300 {
+		if opened := site.open(preferredAddress, 100+number); opened.Action == Forward {
+			counts[opened.Target]++
+			opened.Target.Load.Established(site.now, overload.Preferred)
+			opened.Target.Signal.NoteOpened(site.now)
+		}
+	}
+	assert.Assert(t, counts[target] < 20, "%d of 300, with six targets", counts[target])
+}
+
+func TestWorkOfServicesThatWentIsForgotten(t *testing.T) {
+	site := overloadedSite(t)
+	site.builder.loadOf("gone")
+	site.target("roster-9", 900, "roster", nil)
+	assert.Equal(t, len(site.builder.loads), 2)
+}
--- a/internal/steering/token/pick.go
+++ b/internal/steering/token/pick.go
@@ -13,12 +13,17 @@
 //
 // A service whose targets have enough to do turns nobody over to the others.
 func (o *Opener) pick(now time.Time, table *Table, route *Route, silent *Target) *Target {
-	o.atLimit = false
+	o.atLimit, o.overloaded = false, nil
 	chosen := route.next(o.random)
 	if chosen == nil {
 		return nil
 	}
-	if target := o.pickOf(now, table.services[chosen.Service], silent); target != nil || o.atLimit {
+	service := table.services[chosen.Service]
+	if service != nil && silent == nil && !service.Load.AdmitFlow(now, route.rank) {
+		o.overloaded = service.Load
+		return nil
+	}
+	if target := o.pickOf(now, service, silent); target != nil || o.atLimit {
 		return target
 	}
 	for index := range route.Backends {
