--- a/internal/node/followed_overload.go
+++ b/internal/node/followed_overload.go
@@ -21,35 +21,28 @@
 
 // crowdedPacket is a packet that waits for its service to have room.
 type crowdedPacket struct {
-	at        time.Time
-	until     time.Time
-	buffer    []byte
-	load      *overload.Controller
-	packet    token.Packet
-	rank      overload.Rank
-	isOpening bool
+	head   token.Packet
+	buffer []byte
 }
 
 // holdCrowded keeps a packet until its service has room. A new flow for which room is not
 // expected in time is refused at once: its caller can use the time.
 func (p *tokenPlane) holdCrowded(worker *forwarding.Worker, inbound *forwarding.Inbound, packet *token.Packet, decision *token.Decision, cameAt time.Time) {
-	crowded := crowdedPacket{
-		at: cameAt, until: cameAt.Add(decision.Route.Hold(packet)), rank: decision.Route.Rank(), isOpening: packet.IsOpening,
-		load: decision.Load(), packet: *packet,
-	}
 	p.mutex.Lock()
-	isCopy := p.isCrowded(packet)
-	hasPlace := !isCopy && p.hasCrowdedPlace(time.Now(), &crowded)
-	if hasPlace {
-		crowded.buffer = append([]byte(nil), inbound.Buffer...)
-		p.crowded = append(p.crowded, crowded)
-	}
+	isCopy := p.crowded.Contains(func(held crowdedPacket) bool {
+		return held.head.Source == packet.Source && held.head.Destination == packet.Destination && held.head.Sequence == packet.Sequence
+	})
+	isHeld := isCopy || p.crowded.Put(time.Now(), overload.Waiting[crowdedPacket]{
+		Load: decision.Load(), Rank: decision.Route.Rank(), IsOpening: packet.IsOpening,
+		At: cameAt, Until: cameAt.Add(decision.Route.Hold(packet)),
+		Packet: crowdedPacket{head: *packet, buffer: append([]byte(nil), inbound.Buffer...)},
+	})
 	p.mutex.Unlock()
 	switch {
-	case hasPlace:
-		p.counters.crowded.Add(1)
 	case isCopy:
 		p.counters.dropped[token.ReasonCopy].Add(1)
+	case isHeld:
+		p.counters.crowded.Add(1)
 	case packet.IsOpening:
 		p.refuse(worker, inbound.Datagram(), packet, decision)
 	default:
@@ -57,60 +50,18 @@
 	}
 }
 
-// isCrowded reports whether a packet waits already: its caller sent it again.
-func (p *tokenPlane) isCrowded(packet *token.Packet) bool {
-	return slices.ContainsFunc(p.crowded, func(held crowdedPacket) bool {
-		return held.packet.Source == packet.Source && held.packet.Destination == packet.Destination && held.packet.Sequence == packet.Sequence
-	})
-}
-
-// hasCrowdedPlace reports whether one more packet may wait.
-func (p *tokenPlane) hasCrowdedPlace(now time.Time, crowded *crowdedPacket) bool {
-	if !crowded.isOpening {
-		return len(p.crowded) < p.most
-	}
-	waiting := 0
-	for index := range p.crowded {
-		held := &p.crowded[index]
-		if held.isOpening && held.load == crowded.load && held.rank == crowded.rank {
-			waiting++
-		}
-	}
-	return waiting < crowded.load.Places(now, crowded.rank)
-}
-
 // releaseCrowded decides once more for the packets that may go on or have waited for too
-// long, preferred ones first.
+// long.
 func (p *tokenPlane) releaseCrowded(worker *forwarding.Worker, now time.Time) {
 	for {
-		crowded, found := p.takeCrowded(now)
+		p.mutex.Lock()
+		crowded, found := p.crowded.Take(now)
+		p.mutex.Unlock()
 		if !found {
 			return
 		}
-		p.handle(worker, &forwarding.Inbound{Buffer: crowded.buffer}, crowded.at)
-	}
-}
-
-// takeCrowded takes out the packet that goes on next.
-func (p *tokenPlane) takeCrowded(now time.Time) (taken crowdedPacket, found bool) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	best := -1
-	for index := range p.crowded {
-		held := &p.crowded[index]
-		if best >= 0 && held.rank >= p.crowded[best].rank {
-			continue
-		}
-		if !now.Before(held.until) || held.load.Admit(now, held.rank) {
-			best = index
-		}
-	}
-	if best < 0 {
-		return crowdedPacket{}, false
+		p.handle(worker, &forwarding.Inbound{Buffer: crowded.Packet.buffer}, crowded.At)
 	}
-	taken = p.crowded[best]
-	p.crowded = append(p.crowded[:best], p.crowded[best+1:]...)
-	return taken, true
 }
 
 // tickCrowded lets go what has waited for too long, while no packet comes. Only the control
--- a/internal/overload/hold.go
+++ b/internal/overload/hold.go
@@ -41,9 +41,9 @@
 	return min(mostHold, time.Duration(float64(objective)*holdShare))
 }
 
-// Places returns how many new flows of a rank may wait at once: those for which room is
+// places returns how many new flows of a rank may wait at once: those for which room is
 // expected while they may.
-func (c *Controller) Places(now time.Time, rank Rank) int {
+func (c *Controller) places(now time.Time, rank Rank) int {
 	bound, isBound := c.Bound(now)
 	if !isBound {
 		return 0
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -60,10 +60,9 @@
 	// some tens of answers a second: with a tenth it halves its bound within ten rejections.
 	gain = 0.1
 	// evidenceMemory is over what time rejections are counted before there is a bound,
-	// evidenceLeast how many it takes: a single target that fails says nothing of the
-	// service.
+	// evidenceLeast how many it takes: few short answers may be answers all the same.
 	evidenceMemory = time.Second
-	evidenceLeast  = 3
+	evidenceLeast  = 5
 	// calm is how long after the last rejection, and after the bound was last felt, there
 	// is none any more: longer than callers' returns after a refusal.
 	calm = 3 * time.Second
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -157,3 +157,41 @@
 	controller.Opened(start, Preferred)
 	assert.Assert(t, controller.InProgress(start.Add(10*openingLife), Preferred) < 0.01, "a flow that is given up")
 }
+
+// waitAt is a packet that waits from start on for room at a service.
+func waitAt(controller *Controller, rank Rank, isOpening bool, name string) Waiting[string] {
+	return Waiting[string]{Load: controller, Rank: rank, IsOpening: isOpening, At: start, Until: start.Add(mostHold), Packet: name}
+}
+
+func TestPreferredPacketsGoOnFirstAndOthersInTheirOrder(t *testing.T) {
+	controller := rejected(t, 100)
+	admitted(controller, start, Ordinary)
+	queue := NewQueue[string](10)
+	for _, waiting := range []Waiting[string]{
+		waitAt(controller, Ordinary, true, "one"), waitAt(controller, Ordinary, false, "two"), waitAt(controller, Preferred, true, "three"),
+	} {
+		assert.Assert(t, queue.Put(start, waiting))
+	}
+	first, _ := queue.Take(start)
+	assert.Equal(t, first.Packet, "three")
+	_, found := queue.Take(start)
+	assert.Assert(t, !found, "there is no room for ordinary work")
+	controller.End(Ordinary)
+	second, _ := queue.Take(start)
+	assert.Equal(t, second.Packet, "one")
+	controller.Begin(Ordinary)
+	third, found := queue.Take(start.Add(mostHold))
+	assert.Assert(t, found)
+	assert.Equal(t, third.Packet, "two", "it has waited for as long as it may")
+}
+
+func TestAFlowForWhichNoRoomIsExpectedDoesNotWait(t *testing.T) {
+	controller := rejected(t, 100)
+	queue := NewQueue[string](10)
+	for range 4 {
+		assert.Assert(t, queue.Put(start, waitAt(controller, Ordinary, true, "flow")))
+	}
+	assert.Assert(t, !queue.Put(start, waitAt(controller, Ordinary, true, "flow")))
+	assert.Assert(t, queue.Put(start, waitAt(controller, Ordinary, false, "request")))
+	assert.Assert(t, queue.Contains(func(name string) bool { return name == "request" }))
+}
