--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -53,7 +53,7 @@
 }
 
 // DefaultConfig returns what holds where nothing is said.
-func DefaultConfig() Config { return Config{Enabled: true, PerSlot: 1, Rejected: 0.1} }
+func DefaultConfig() Config { return Config{Enabled: true, PerSlot: 2, Rejected: 0.15} }
 
 const (
 	// gain is by what part a rejection lowers the bound. A daemon of a large fleet sees
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -15,11 +15,11 @@
 	rejectSize = 150
 )
 
-// learned is a controller that knows how long answers are, one of ten daemons before 40 slots.
+// learned is a controller that knows how long answers are, one of ten daemons before 20 slots.
 func learned(t *testing.T) *Controller {
 	t.Helper()
 	controller := New(DefaultConfig())
-	controller.SetShare(40, 10)
+	controller.SetShare(20, 10)
 	for range 2 * learnedAfter {
 		assert.Assert(t, !controller.NoteAnswer(start, route, answerSize))
 	}
--- /dev/null
+++ b/internal/simulation/overload.go
@@ -0,0 +1,285 @@
+package simulation
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/passtray/passtray/internal/balance"
+	"github.com/passtray/passtray/internal/overload"
+)
+
+// OverloadConfig is a service that callers ask for more or less than its targets can serve.
+type OverloadConfig struct {
+	Daemons int
+	Targets int
+	// Bounds says whether daemons bound the service's work.
+	Bounds bool
+	// BelievedDaemons, if not 0, is how many daemons each believes there are.
+	BelievedDaemons int
+	// SlowShare of the targets take four times as long, DeadShare of them are known to be dead.
+	SlowShare, DeadShare float64
+	// Load is the work that callers ask for, by what the targets can do at their usual speed,
+	// while Burst lasts; before and after it is a fifth of that.
+	Load  float64
+	Burst time.Duration
+	Seed  uint64
+}
+
+// OverloadResult is what a run shows.
+type OverloadResult struct {
+	// Asked and Served count requests by rank.
+	Asked, Served [2]int
+	// Arrivals came to targets, TurnedAway of them were not run; Refused are new flows that
+	// daemons refused.
+	Arrivals, TurnedAway, Refused int
+	// RefusedAfter are those refused later than a second after the burst.
+	RefusedAfter int
+}
+
+// Share is the part of a rank's requests that was served.
+func (r *OverloadResult) Share(rank overload.Rank) float64 {
+	return float64(r.Served[rank]) / float64(max(1, r.Asked[rank]))
+}
+
+// What targets and callers do.
+const (
+	overloadQueue     = 8 // requests that a target lets wait
+	overloadPatience  = 100 * time.Millisecond
+	overloadWork      = 32 * time.Millisecond
+	overloadSlowness  = 4
+	overloadPreferred = 0.22 // of all requests
+	overloadTries     = 3
+	overloadPause     = 150 * time.Millisecond // before another try, on average
+	overloadWay       = 6 * time.Millisecond   // there and back
+	overloadUsers     = 8                      // with a flow kept open, by daemon, of 88 daemons
+	overloadObjective = 600 * time.Millisecond
+	overloadLead      = 2 * time.Second
+	overloadAnswer    = 1000 // bytes
+	overloadRejection = 100
+	overloadRoute     = 1
+)
+
+// overloadCall is one request of a caller.
+type overloadCall struct {
+	rank  overload.Rank
+	tries int
+	// target is where its flow is open, -1 if it needs a new one.
+	target int
+	daemon *overloadDaemon
+}
+
+type overloadDaemon struct {
+	load       *overload.Controller
+	queue      *overload.Queue[*overloadCall]
+	candidates []balance.Candidate
+	// idle are the targets at which flows of ordinary callers are open and at rest.
+	idle []int
+}
+
+type overloadTarget struct {
+	busy    int
+	waiting []*overloadCall
+	work    time.Duration
+}
+
+type overloadRun struct {
+	config  OverloadConfig
+	clock   *Clock
+	random  *rand.Rand
+	begun   time.Time
+	daemons []*overloadDaemon
+	targets []*overloadTarget
+	result  OverloadResult
+}
+
+// Overload plays a load in virtual time.
+func Overload(config OverloadConfig) OverloadResult {
+	run := &overloadRun{config: config, clock: NewClock(), random: rand.New(rand.NewPCG(config.Seed, 31))}
+	run.begun = run.clock.Now()
+	for index := range config.Targets {
+		target := &overloadTarget{work: overloadWork}
+		if float64(index) < config.SlowShare*float64(config.Targets) {
+			target.work *= overloadSlowness
+		}
+		run.targets = append(run.targets, target)
+	}
+	for range config.Daemons {
+		run.daemons = append(run.daemons, run.newDaemon())
+	}
+	run.arrive()
+	run.clock.Advance(overloadLead + config.Burst + 2*overloadLead)
+	return run.result
+}
+
+func (o *overloadRun) newDaemon() *overloadDaemon {
+	bounds := overload.DefaultConfig()
+	bounds.Enabled = o.config.Bounds
+	daemon := &overloadDaemon{load: overload.New(bounds), queue: overload.NewQueue[*overloadCall](512)}
+	now, slots := o.clock.Now(), 0
+	for index := range o.targets {
+		signal := &balance.Signal{}
+		if float64(len(o.targets)-1-index) < o.config.DeadShare*float64(len(o.targets)) {
+			signal.SetDead(now.Add(time.Hour), now.Add(time.Hour))
+		} else {
+			slots += slotsPerTarget
+		}
+		daemon.candidates = append(daemon.candidates, balance.Candidate{Signal: signal, Weight: slotsPerTarget, Slots: slotsPerTarget})
+	}
+	daemon.load.SetShare(slots, o.believed())
+	for range 100 { // it has seen answers before
+		daemon.load.NoteAnswer(now, overloadRoute, overloadAnswer)
+	}
+	return daemon
+}
+
+func (o *overloadRun) believed() int {
+	if o.config.BelievedDaemons > 0 {
+		return o.config.BelievedDaemons
+	}
+	return o.config.Daemons
+}
+
+// burstEnds is when the burst does.
+func (o *overloadRun) burstEnds() time.Time { return o.begun.Add(overloadLead + o.config.Burst) }
+
+func (o *overloadRun) load(now time.Time) float64 {
+	if now.Before(o.begun.Add(overloadLead)) || !now.Before(o.burstEnds()) {
+		return o.config.Load / 5
+	}
+	return o.config.Load
+}
+
+// arrive lets callers' requests come.
+func (o *overloadRun) arrive() {
+	now := o.clock.Now()
+	perSecond := o.load(now) * float64(len(o.targets)*slotsPerTarget) / overloadWork.Seconds()
+	o.clock.After(time.Duration(o.random.ExpFloat64()/perSecond*float64(time.Second)), func() {
+		call := &overloadCall{rank: overload.Ordinary, target: -1}
+		if o.random.Float64() < overloadPreferred {
+			call.rank = overload.Preferred
+		}
+		o.result.Asked[call.rank]++
+		o.try(call, true)
+		o.arrive()
+	})
+}
+
+// try sends a call's request, on an open flow if that may be and one is at rest.
+func (o *overloadRun) try(call *overloadCall, mayReuse bool) {
+	call.daemon = o.daemons[o.random.IntN(len(o.daemons))]
+	call.target = -1
+	if idle := call.daemon.idle; mayReuse && call.rank == overload.Ordinary && len(idle) > 0 {
+		call.target = idle[len(idle)-1]
+		call.daemon.idle = idle[:len(idle)-1]
+	}
+	o.decide(call, o.clock.Now())
+}
+
+// decide does what the data path does with a packet that came at a time.
+func (o *overloadRun) decide(call *overloadCall, cameAt time.Time) {
+	now, daemon, isOpening := o.clock.Now(), call.daemon, call.target < 0
+	hold := overload.HoldFor(overloadObjective)
+	if !isOpening {
+		hold = overload.DataHoldFor(overloadObjective)
+	}
+	hasWaited := now.Sub(cameAt) >= hold
+	switch {
+	case isOpening && daemon.load.AdmitFlow(now, call.rank), !isOpening && (hasWaited || daemon.load.Admit(now, call.rank)):
+		o.send(call)
+	case !hasWaited && daemon.queue.Put(now, overload.Waiting[*overloadCall]{
+		Load: daemon.load, Rank: call.rank, IsOpening: isOpening, At: cameAt, Until: cameAt.Add(hold), Packet: call,
+	}):
+		o.clock.After(hold, func() { o.release(daemon) })
+	default:
+		o.result.Refused++
+		if now.After(o.burstEnds().Add(time.Second)) {
+			o.result.RefusedAfter++
+		}
+		o.retry(call)
+	}
+}
+
+func (o *overloadRun) release(daemon *overloadDaemon) {
+	for {
+		waiting, found := daemon.queue.Take(o.clock.Now())
+		if !found {
+			return
+		}
+		o.decide(waiting.Packet, waiting.At)
+	}
+}
+
+func (o *overloadRun) retry(call *overloadCall) {
+	if call.tries++; call.tries < overloadTries {
+		o.clock.After(time.Duration(o.random.ExpFloat64()*float64(overloadPause)), func() { o.try(call, false) })
+	}
+}
+
+// send brings a request to its target.
+func (o *overloadRun) send(call *overloadCall) {
+	now, daemon := o.clock.Now(), call.daemon
+	if call.target < 0 {
+		request := balance.Request{Now: now, LeaseHeld: true, Excluded: -1}
+		call.target = balance.Pick(&request, daemon.candidates, o.random)
+	}
+	daemon.load.Begin(call.rank)
+	daemon.candidates[call.target].Signal.NoteWaiting(1)
+	o.result.Arrivals++
+	target := o.targets[call.target]
+	switch {
+	case target.busy < slotsPerTarget:
+		o.work(target, call)
+	case len(target.waiting) >= overloadQueue:
+		o.clock.After(overloadWay, func() { o.answer(call, false) })
+	default:
+		target.waiting = append(target.waiting, call)
+		o.clock.After(overloadPatience, func() { o.giveUp(target, call) })
+	}
+}
+
+// giveUp turns away a request that waited for too long at its target.
+func (o *overloadRun) giveUp(target *overloadTarget, call *overloadCall) {
+	for index, waiting := range target.waiting {
+		if waiting == call {
+			target.waiting = append(target.waiting[:index:index], target.waiting[index+1:]...)
+			o.clock.After(overloadWay, func() { o.answer(call, false) })
+			return
+		}
+	}
+}
+
+// work occupies one of a target's slots.
+func (o *overloadRun) work(target *overloadTarget, call *overloadCall) {
+	target.busy++
+	o.clock.After(time.Duration((0.5+o.random.Float64())*float64(target.work)), func() {
+		target.busy--
+		o.clock.After(overloadWay, func() { o.answer(call, true) })
+		if len(target.waiting) > 0 {
+			next := target.waiting[0]
+			target.waiting = target.waiting[1:]
+			o.work(target, next)
+		}
+	})
+}
+
+// answer brings a target's answer to the caller, and past its daemon what that shows.
+func (o *overloadRun) answer(call *overloadCall, isServed bool) {
+	now, daemon, signal := o.clock.Now(), call.daemon, call.daemon.candidates[call.target].Signal
+	daemon.load.End(call.rank)
+	signal.NoteWaiting(-1)
+	if isServed {
+		o.result.Served[call.rank]++
+		daemon.load.NoteAnswer(now, overloadRoute, overloadAnswer)
+	} else {
+		o.result.TurnedAway++
+		daemon.load.NoteAnswer(now, overloadRoute, overloadRejection)
+		signal.NoteAwaited(now, 8)
+	}
+	if call.rank == overload.Ordinary && len(daemon.idle) < overloadUsers*88/len(o.daemons) {
+		daemon.idle = append(daemon.idle, call.target)
+	}
+	if !isServed {
+		o.retry(call)
+	}
+	o.release(daemon)
+}
--- /dev/null
+++ b/internal/simulation/overload_test.go
@@ -0,0 +1,87 @@
+package simulation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/passtray/passtray/internal/overload"
+)
+
+// overloadOf is a load before 120 targets for 4 s.
+func overloadOf(daemons int, load, slow float64) OverloadConfig {
+	return OverloadConfig{Daemons: daemons, Targets: 120, Bounds: true, Load: load, SlowShare: slow, Burst: 4 * time.Second, Seed: 1}
+}
+
+// playBoth plays a load with bounded work and without.
+func playBoth(t *testing.T, config OverloadConfig) (bounded, free OverloadResult) {
+	t.Helper()
+	bounded = Overload(config)
+	config.Bounds = false
+	free = Overload(config)
+	t.Log("bounded:", bounded.String())
+	t.Log("free:   ", free.String())
+	return bounded, free
+}
+
+func (r *OverloadResult) String() string {
+	return fmt.Sprintf("preferred %.3f ordinary %.3f served %d turned away %d of %d refused %d, %d after the burst",
+		r.Share(overload.Preferred), r.Share(overload.Ordinary), r.total(), r.TurnedAway, r.Arrivals, r.Refused, r.RefusedAfter)
+}
+
+func (r *OverloadResult) total() int {
+	return r.Served[overload.Preferred] + r.Served[overload.Ordinary]
+}
+
+// TestPastCapacityTheFirstRankIsServed: 1.2 times what targets can do, with three in ten of
+// them slow that is half as much again. Without bounds targets turn away more than they serve.
+func TestPastCapacityTheFirstRankIsServed(t *testing.T) {
+	for _, daemons := range []int{8, 88, 350} {
+		t.Run(fmt.Sprint(daemons, " daemons"), func(t *testing.T) {
+			bounded, free := playBoth(t, overloadOf(daemons, 1.2, 0.3))
+			assert.Assert(t, free.Share(overload.Preferred) < 0.85)
+			assert.Assert(t, bounded.Share(overload.Preferred) > 0.96)
+			assert.Assert(t, bounded.TurnedAway*4 < free.TurnedAway)
+			assert.Assert(t, float64(bounded.total()) > 0.95*float64(free.total()), "targets are not left idle")
+			assert.Assert(t, bounded.Share(overload.Ordinary) > 0.5, "nor others starved")
+			assert.Assert(t, bounded.RefusedAfter*100 < bounded.Refused, "callers that return do not keep it up")
+		})
+	}
+}
+
+// TestWithinCapacityNothingIsRefused: neither at the usual load, nor when a third of the
+// targets is dead, nor at a load that all can just serve.
+func TestWithinCapacityNothingIsRefused(t *testing.T) {
+	usual, dead, high := overloadOf(88, 0.2, 0), overloadOf(88, 0.5, 0), overloadOf(88, 0.7, 0)
+	dead.DeadShare = 1.0 / 3
+	for name, config := range map[string]OverloadConfig{"usual": usual, "a third dead": dead, "high": high} {
+		t.Run(name, func(t *testing.T) {
+			bounded, free := playBoth(t, config)
+			assert.Equal(t, bounded.Refused, 0)
+			assert.Equal(t, bounded.total(), free.total())
+		})
+	}
+}
+
+// TestNearCapacityBoundsCostLittle: nine tenths of what the targets can do, three in ten of
+// which are slow and turn away what others could have served.
+func TestNearCapacityBoundsCostLittle(t *testing.T) {
+	bounded, free := playBoth(t, overloadOf(88, 0.7, 0.3))
+	assert.Assert(t, float64(bounded.total()) > 0.98*float64(free.total()))
+}
+
+// TestWrongMembershipDegradesAndNoMore: daemons that count half or twice as many.
+func TestWrongMembershipDegradesAndNoMore(t *testing.T) {
+	for _, believed := range []int{44, 176} {
+		t.Run(fmt.Sprint(believed, " of 88"), func(t *testing.T) {
+			config := overloadOf(88, 1.2, 0.3)
+			config.BelievedDaemons = believed
+			bounded, free := playBoth(t, config)
+			assert.Assert(t, bounded.Share(overload.Preferred) > free.Share(overload.Preferred)+0.1)
+			assert.Assert(t, bounded.TurnedAway*2 < free.TurnedAway)
+			assert.Assert(t, float64(bounded.total()) > 0.92*float64(free.total()))
+		})
+	}
+}
