Steering by token: weak evidence does not count while a service's work is bounded

Change: while a service's work is bounded, weak evidence against its targets is dropped; strong evidence (a caller sent again in vain) counts.

--- a/internal/steering/token/overload.go
+++ b/internal/steering/token/overload.go
@@ -1,8 +1,10 @@
 package token
 
 import (
+	"slices"
 	"time"
 
+	"github.com/passtray/passtray/internal/outlier"
 	"github.com/passtray/passtray/internal/overload"
 )
 
@@ -72,3 +74,16 @@
 		visit(name, service.Load)
 	}
 }
+
+// Credible returns what of the evidence against targets counts. While a service's targets have
+// more to do than they can, weak evidence says that of them, and not that one of them fails.
+func (t *Table) Credible(now time.Time, evidence []Unanswered) []Unanswered {
+	return slices.DeleteFunc(evidence, func(unanswered Unanswered) bool {
+		target := t.targetOf(unanswered.Target)
+		if target == nil || unanswered.Evidence != outlier.Weak {
+			return false
+		}
+		_, isBounded := target.Load.Bound(now)
+		return isBounded
+	})
+}
--- a/internal/steering/token/overload_test.go
+++ b/internal/steering/token/overload_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/passtray/passtray/internal/followed"
+	"github.com/passtray/passtray/internal/outlier"
 	"github.com/passtray/passtray/internal/overload"
 )
 
@@ -98,3 +99,14 @@
 	site.target("roster-9", 900, "roster", nil)
 	assert.Equal(t, len(site.builder.loads), 2)
 }
+
+// TestUnderOverloadWeakEvidenceDoesNotCount: targets that turned requests away in a burst were
+// passed over for half a minute after it.
+func TestUnderOverloadWeakEvidenceDoesNotCount(t *testing.T) {
+	evidence := func() []Unanswered {
+		return []Unanswered{{Target: 100, Evidence: outlier.Weak}, {Target: 101, Evidence: outlier.Strong}, {Target: 200, Evidence: outlier.Weak}}
+	}
+	site := overloadedSite(t)
+	assert.DeepEqual(t, site.table.Credible(site.now, evidence()), evidence()[1:])
+	assert.DeepEqual(t, site.table.Credible(site.now.Add(time.Minute), evidence()), evidence())
+}
