--- a/internal/steering/token/overload_test.go
+++ b/internal/steering/token/overload_test.go
@@ -62,7 +62,7 @@
 	site, requests := overloadedSite(t), NewRequests(16)
 	opened := site.open(ordinaryAddress, 1)
 	site.open(ordinaryAddress, 2)
-	data := &Packet{Source: caller(1), Destination: ordinaryAddress, Token: opened.Target.Token, PayloadLength: 10}
+	data := &Packet{Source: caller(1), Destination: ordinaryAddress, Token: opened.Word(), PayloadLength: 10}
 	followed := site.table.Follow(site.now, data)
 	assert.Equal(t, requests.Restrain(site.now, followed, data, 0).Action, Hold)
 	assert.Equal(t, requests.Restrain(site.now, followed, data, time.Second).Action, Forward, "an open flow is never reset")
