Targets first: on a slow link the targets are the first part of the list

Cause: the list of targets came after the call that found the whole too long. What of that answer was on its way when it was given up kept the link: the targets' list began 80 ms after it was asked for.

Change: a daemon with a slow link that knows nothing reads the list in two parts, the targets and the rest, as pages of one list; targets count at once. A daemon with a fast link reads the whole, and the parts only if that is too long for it, too.

The test of suppression counts as it did at first: the first call of each daemon is left out, whatever it lists.

--- a/internal/followed/early_test.go
+++ b/internal/followed/early_test.go
@@ -2,86 +2,121 @@
 
 import (
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 )
 
-// foundLong brings a follower on a slow link to where the content was found to be long.
-func foundLong(t *testing.T, config Config) (*Follower, Output) {
-	t.Helper()
-	follower := newTestFollower()
+// newSlowFollower has a link of 10 Mbit/s and peers that may tell it a long content.
+func newSlowFollower(config Config) *Follower {
 	config.LinkBytes = 10 * megabit
+	follower := newTestFollower()
 	follower.config = config
 	follower.coldBytes = 100 << 10
-	list := follower.Tick(testStart).Call
-	return follower, follower.Step(testStart, &Answer{Number: list.Number, Outcome: OutcomeTooLong, Bytes: 300 << 10})
+	return follower
 }
 
-func TestTargetsAreReadFirstWhereTheContentIsLong(t *testing.T) {
-	follower, output := foundLong(t, DefaultConfig())
-	early := output.Call
-	assert.Assert(t, early != nil && early.Kind == CallList && early.TargetsOnly && early.AllowStale)
-	assert.Equal(t, early.MostBytes, DefaultConfig().EarlyBytes)
-	assert.Assert(t, follower.IsAwaited(early.Number))
-	learned := follower.Step(testStart, answered(early, 30, targetEntry("a", 3), targetEntry("b", 7)))
+func TestOnASlowLinkTargetsAreReadFirst(t *testing.T) {
+	follower := newSlowFollower(DefaultConfig())
+	first := follower.Tick(testStart).Call
+	assert.Assert(t, first.Kind == CallList && first.TargetsOnly && first.AllowStale)
+	assert.Equal(t, first.MostBytes, DefaultConfig().EarlyBytes)
+	learned := follower.Step(testStart, answered(first, 30, targetEntry("a", 3), targetEntry("b", 7)))
 	assert.Assert(t, learned.Change.Targets && !learned.Change.Configuration)
 	assert.Equal(t, follower.View().Present(), 2)
 	assert.Equal(t, follower.View().Revision(), uint64(0), "what else there is stays unknown")
-	assert.Assert(t, follower.ConfirmedAt().IsZero())
+	rest := learned.Call
+	assert.Assert(t, rest.WithoutTargets && !rest.TargetsOnly)
+	assert.Equal(t, rest.AfterKey, "")
+	confirm := follower.Step(testStart, answered(rest, 30, configurationEntry(9, 1))).Call
+	assert.Equal(t, confirm.Kind, CallWatch)
+	assert.Equal(t, confirm.AfterRevision, uint64(7), "all of it is as old as its first part")
 }
 
-func TestWithoutEarlyListsNothingIsKnownUntilTheWholeIs(t *testing.T) {
+func TestOnAFastLinkTheContentIsOneList(t *testing.T) {
+	config := DefaultConfig()
+	for _, bytes := range []float64{0, 200 * megabit} {
+		config.LinkBytes = bytes
+		follower := NewFollower(config, newTestFollower().random)
+		call := follower.Tick(testStart).Call
+		assert.Assert(t, !call.TargetsOnly && !call.WithoutTargets)
+	}
+}
+
+func TestWithoutEarlyBytesNothingIsKnownUntilTheWholeIs(t *testing.T) {
 	config := DefaultConfig()
 	config.EarlyBytes = 0
-	_, output := foundLong(t, config)
+	call := newSlowFollower(config).Tick(testStart).Call
+	assert.Assert(t, !call.TargetsOnly)
+}
+
+// TestTheRestIsAwaitedFromPeersWhereItIsLong: the targets are not read again.
+func TestTheRestIsAwaitedFromPeersWhereItIsLong(t *testing.T) {
+	follower := newSlowFollower(DefaultConfig())
+	targets := follower.Tick(testStart).Call
+	rest := follower.Step(testStart, answered(targets, 30, targetEntry("a", 3))).Call
+	output := follower.Step(testStart, &Answer{Number: rest.Number, Outcome: OutcomeTooLong, Bytes: 240 << 10})
+	assert.Assert(t, output.Call == nil)
+	patience := follower.config.transferTime(240<<10) + follower.config.ColdSpread.Most
+	again := follower.Tick(testStart.Add(patience)).Call
+	assert.Assert(t, again.WithoutTargets && again.MostBytes == 0)
+}
+
+// TestTooManyTargetsAreReadWithTheRest: 300 daemons at once would keep the store's link.
+func TestTooManyTargetsAreReadWithTheRest(t *testing.T) {
+	follower := newSlowFollower(DefaultConfig())
+	targets := follower.Tick(testStart).Call
+	output := follower.Step(testStart, &Answer{Number: targets.Number, Outcome: OutcomeTooLong, Bytes: 150 << 10})
 	assert.Assert(t, output.Call == nil)
+	patience := follower.config.transferTime(150<<10) + follower.config.ColdSpread.Most
+	whole := follower.Tick(testStart.Add(patience)).Call
+	assert.Assert(t, !whole.TargetsOnly && !whole.WithoutTargets && whole.MostBytes == 0)
 }
 
-func TestAnEarlyTargetThatTheWholeContentLacksHasGone(t *testing.T) {
-	follower, output := foundLong(t, DefaultConfig())
-	follower.Step(testStart, answered(output.Call, 30, targetEntry("a", 3), targetEntry("b", 7)))
+func TestAStoreWithoutTargetsIsReadWhole(t *testing.T) {
+	follower := newSlowFollower(DefaultConfig())
+	targets := follower.Tick(testStart).Call
+	whole := follower.Step(testStart, answered(targets, 30)).Call
+	assert.Assert(t, whole.Kind == CallList && !whole.TargetsOnly && !whole.WithoutTargets)
+	confirm := follower.Step(testStart, answered(whole, 30, configurationEntry(9, 1))).Call
+	assert.Equal(t, confirm.AfterRevision, uint64(9))
+}
+
+func TestAnEarlyTargetThatAPeersContentLacksHasGone(t *testing.T) {
+	follower := newSlowFollower(DefaultConfig())
+	targets := follower.Tick(testStart).Call
+	rest := follower.Step(testStart, answered(targets, 30, targetEntry("a", 3), targetEntry("b", 7))).Call
 	follower.Learn(testStart, &Delta{Until: 20, Entries: []Entry{configurationEntry(5, 1), targetEntry("b", 7)}})
 	states := map[string]string{}
 	for _, target := range follower.View().Targets() {
 		states[target.Key] = target.State()
 	}
 	assert.DeepEqual(t, states, map[string]string{"a": StateGone, "b": StateOpen})
+	assert.Assert(t, !follower.IsAwaited(rest.Number))
 }
 
-func TestAPeersAnswerEndsAnEarlyList(t *testing.T) {
-	follower, output := foundLong(t, DefaultConfig())
-	follower.Learn(testStart, &Delta{Until: 20, Entries: []Entry{configurationEntry(5, 1)}})
-	assert.Assert(t, !follower.IsAwaited(output.Call.Number))
-	late := follower.Step(testStart, answered(output.Call, 30, targetEntry("a", 3)))
-	assert.Assert(t, late.Change.IsEmpty())
-}
-
-func TestPagesOfAnEarlyListAreReadOn(t *testing.T) {
-	follower, output := foundLong(t, DefaultConfig())
-	page := answered(output.Call, 30, targetEntry("a", 3))
+func TestPagesOfPartsAreReadOn(t *testing.T) {
+	follower := newSlowFollower(DefaultConfig())
+	page := answered(follower.Tick(testStart).Call, 30, targetEntry("a", 3))
 	page.More = true
-	next := follower.Step(testStart, page).Call
-	assert.Assert(t, next != nil && next.TargetsOnly)
-	assert.Equal(t, next.AfterKey, "a")
+	second := follower.Step(testStart, page).Call
+	assert.Assert(t, second.TargetsOnly)
+	assert.Equal(t, second.AfterKey, "a")
+	rest := follower.Step(testStart, answered(second, 30, targetEntry("b", 8))).Call
+	assert.Assert(t, rest.WithoutTargets)
+	confirm := follower.Step(testStart, answered(rest, 30, configurationEntry(9, 1))).Call
+	assert.Equal(t, confirm.AfterRevision, uint64(3))
+	assert.Equal(t, follower.View().Present(), 2)
 }
 
-// TestEarlyListsThatFailAreFew: the store may turn this daemon away.
-func TestEarlyListsThatFailAreFew(t *testing.T) {
-	for name, outcome := range map[string]Outcome{"failed": OutcomeFailed, "throttled": OutcomeThrottled, "silent": 0} {
-		t.Run(name, func(t *testing.T) {
-			follower, output := foundLong(t, DefaultConfig())
-			calls := 0
-			for now, call := testStart, output.Call; now.Before(testStart.Add(time.Minute)); now = now.Add(10 * time.Millisecond) {
-				if call != nil && call.TargetsOnly {
-					calls++
-					if outcome != 0 {
-						follower.Step(now, ended(call, outcome))
-					}
-				}
-				call = follower.Tick(now).Call
-			}
-			assert.Equal(t, calls, mostEarlyTries)
-		})
-	}
+func TestWhereTheWholeIsLongForAFastLinkTargetsAreReadAtOnce(t *testing.T) {
+	config := DefaultConfig()
+	config.LinkBytes = 200 * megabit
+	follower := NewFollower(config, newTestFollower().random)
+	follower.coldBytes = 2 << 20
+	whole := follower.Tick(testStart).Call
+	assert.Assert(t, !whole.TargetsOnly)
+	targets := follower.Step(testStart, &Answer{Number: whole.Number, Outcome: OutcomeTooLong, Bytes: 3 << 20}).Call
+	assert.Assert(t, targets != nil && targets.TargetsOnly)
+	rest := follower.Step(testStart, answered(targets, 30, targetEntry("a", 3))).Call
+	assert.Assert(t, rest.WithoutTargets && rest.MostBytes == 2<<20)
 }
--- a/internal/followed/followerconfig.go
+++ b/internal/followed/followerconfig.go
@@ -42,10 +42,9 @@
 	// that knows nothing waits for a peer's answer before it reads the list. Without it
 	// all of a large fleet begin at once, and the store's link is the bottleneck.
 	ColdSpread SuppressionTimer
-	// EarlyBytes is how long a list of targets alone may be, which a daemon reads first
-	// where the whole content takes long on its link; 0 is never to read one. With the
-	// default 300 daemons that start at once keep a store's link of 1 Gbit/s for 0.16 s;
-	// 250 targets have as much.
+	// EarlyBytes is how long the targets may be for a daemon with a slow link to read them
+	// before all else; 0 is never to. With the default 300 daemons that start at once keep
+	// a store's link of 1 Gbit/s for 0.16 s; 250 targets have as much.
 	EarlyBytes int64
 	// LinkBytes is how many bytes a second the daemon's link carries, 0 if that is
 	// not known.
--- a/internal/followed/hedge.go
+++ b/internal/followed/hedge.go
@@ -19,9 +19,6 @@
 	if f.side.call != nil && f.side.call.Number == number {
 		return f.side.call
 	}
-	if f.early.call != nil && f.early.call.Number == number && f.view.Configuration() == nil {
-		return f.early.call
-	}
 	for _, call := range f.hedged {
 		if call.Number == number {
 			return call
@@ -33,7 +30,7 @@
 // isToHedge reports whether the list under way has taken so long, with nothing known
 // here, that it is asked for once more.
 func (f *Follower) isToHedge(now time.Time) bool {
-	isCold := f.phase == phaseListing && len(f.pages) == 0 && f.view.Configuration() == nil
+	isCold := f.phase == phaseListing && f.isFirstPage() && f.view.Configuration() == nil
 	after := max(f.config.HedgeAfter, f.perMember(f.config.HedgePerMember), hedgeTransfers*f.config.transferTime(f.listBytes))
 	return isCold && len(f.hedged)+1 < f.config.HedgeMost && now.Sub(f.startedAt) >= after
 }
--- a/internal/simulation/coldstart_test.go
+++ b/internal/simulation/coldstart_test.go
@@ -85,9 +85,8 @@
 		config.Follower.ColdSpread = timer
 		run := newColdStart(1, largeDaemons, largeTargets, config)
 		run.Clock.Advance(2 * time.Second)
-		// Each daemon's first call only shows how long the list is, and lists of targets
-		// alone are short.
-		return run.Store.StaleCalls - run.Store.TargetLists - largeDaemons
+		// Each daemon's first call only shows how long the list is.
+		return run.Store.StaleCalls - largeDaemons
 	}
 	with, without := lists(followed.DefaultFleetConfig().Follower.ColdSpread), lists(followed.NoSuppression)
 	t.Logf("%d pages with suppression, %d without", with, without)
