--- /dev/null
+++ b/internal/followed/budget.go
@@ -0,0 +1,51 @@
+package followed
+
+import "time"
+
+const (
+	// answersShare is how much of its link a daemon gives to whole contents for daemons
+	// that start, on average, and answersBurst how much of it at once. A fast link of 200
+	// Mbit/s bears 750 KB at once and 150 KB/s, one of 10 Mbit/s 37 KB and 7.5 KB/s. Beyond,
+	// askers are sent on to others that know as much, so that they spread as a tree.
+	answersShare = 0.006
+	answersBurst = 30 * time.Millisecond
+	// mostRedirects is how often an asker is sent on before it is answered all the same.
+	mostRedirects = 3
+)
+
+// answerBudget bounds the bytes of whole contents that a daemon gives out (a token bucket).
+// An answer may overdraw it: its length is known once it is given.
+type answerBudget struct {
+	bytesPerSecond float64
+	spent          float64
+	at             time.Time
+	// last is how many bytes the last whole content had.
+	last float64
+}
+
+// isSpent reports whether no more is to be given now.
+func (b *answerBudget) isSpent(now time.Time) bool {
+	b.refill(now)
+	return b.bytesPerSecond > 0 && b.spent >= b.bytesPerSecond*answersBurst.Seconds()
+}
+
+// give takes in that a whole content is given, as long as the last one was.
+func (b *answerBudget) give(now time.Time) {
+	b.refill(now)
+	b.spent += b.last
+}
+
+// note takes in how long a whole content became, in bytes.
+func (b *answerBudget) note(bytes int) {
+	if b.last == 0 {
+		b.spent += float64(bytes)
+	}
+	b.last = float64(bytes)
+}
+
+func (b *answerBudget) refill(now time.Time) {
+	if !b.at.IsZero() {
+		b.spent = max(0, b.spent-now.Sub(b.at).Seconds()*b.bytesPerSecond*answersShare)
+	}
+	b.at = now
+}
--- a/internal/followed/claim.go
+++ b/internal/followed/claim.go
@@ -13,21 +13,20 @@
 	at time.Time
 }
 
-// fastRank is set in the rank of a daemon with a fast link, to which one with a slow
-// link gives way.
-const fastRank = 1 << 63
+// strongRank is set in the rank of a strong daemon, to which another one gives way.
+const strongRank = 1 << 63
 
 // isAlive reports whether the reader was answered lately enough.
 func (c *claim) isAlive(now time.Time, lifetime time.Duration) bool {
 	return c.rank != 0 && now.Sub(c.at) < lifetime
 }
 
-// isOf reports whether a claim is that of the daemon with a rank, however its link
+// isOf reports whether a claim is that of the daemon with a rank, however its strength
 // was judged.
-func (c *claim) isOf(rank uint64) bool { return c.rank&^fastRank == rank&^fastRank }
+func (c *claim) isOf(rank uint64) bool { return c.rank&^strongRank == rank&^strongRank }
 
-// isFast reports whether the reader has a fast link.
-func (c *claim) isFast() bool { return c.rank&fastRank != 0 }
+// isStrong reports whether the reader is strong.
+func (c *claim) isStrong() bool { return c.rank&strongRank != 0 }
 
 // offer takes a claim that was heard if it renews or outranks the one that is held,
 // or if that one has run out.
--- a/internal/followed/claim_test.go
+++ b/internal/followed/claim_test.go
@@ -35,7 +35,7 @@
 	})
 	t.Run("a daemon whose link is judged anew keeps its claim", func(t *testing.T) {
 		held := claim{rank: 5, at: now}
-		held.offer(now, claim{rank: 5 | fastRank, at: now}, lifetime)
+		held.offer(now, claim{rank: 5 | strongRank, at: now}, lifetime)
 		assert.Assert(t, held.isOf(5))
 	})
 }
@@ -49,7 +49,7 @@
 		fleet.Tick(testStart)
 		woken := testStart.Add(pause)
 		fleet.noteTime(woken)
-		fleet.hear(woken, woken, peerAddress(1), Digest{IsConfirmed: true, Reader: 7 | fastRank})
+		fleet.hear(woken, woken, peerAddress(1), Digest{IsConfirmed: true, Reader: 7 | strongRank})
 		return fleet
 	}
 	assert.Assert(t, heard(t, 100*time.Millisecond).hearsReader(testStart.Add(100*time.Millisecond)))
--- a/internal/followed/serve.go
+++ b/internal/followed/serve.go
@@ -29,6 +29,14 @@
 	if since < view.Forgotten() {
 		since = 0
 	}
+	if since == 0 && pull.Redirects < mostRedirects && f.budget.isSpent(now) {
+		if delta := f.redirect(now, pull); delta.Ahead.IsValid() {
+			return delta
+		}
+	}
+	if since == 0 {
+		f.budget.give(now)
+	}
 	delta := Delta{Since: since, Until: view.Revision(), Digest: f.Digest(now)}
 	if f.isBehind() {
 		delta.Ahead, delta.AheadRevision = f.aheadPeer, f.aheadRevision
@@ -66,13 +74,20 @@
 	return delta
 }
 
-// drawInformed returns a daemon to which an asker can be sent: one with a fast link in
-// the asker's zone if there is one, else one with a fast link, else any.
+// NoteGiven takes in how long the answer to a pull became, in bytes.
+func (f *Fleet) NoteGiven(delta *Delta, bytes int) {
+	if delta.Since == 0 && !delta.IsRedirect {
+		f.budget.note(bytes)
+	}
+}
+
+// drawInformed returns a daemon to which an asker can be sent: a strong one in the asker's
+// zone if there is one, else a strong one, else any.
 func (f *Fleet) drawInformed(asker membership.Member) (netip.AddrPort, bool) {
-	fast := fastLink(f.group.Live())
+	most := strengthsOf(f.group.Live())
 	for _, isWanted := range []func(member *membership.Member) bool{
-		func(member *membership.Member) bool { return member.Zone == asker.Zone && linkOf(member) >= fast },
-		func(member *membership.Member) bool { return linkOf(member) >= fast },
+		func(member *membership.Member) bool { return member.Zone == asker.Zone && most.isStrong(member) },
+		func(member *membership.Member) bool { return most.isStrong(member) },
 		func(*membership.Member) bool { return true },
 	} {
 		other, found := f.informed.draw(f.random, func(address netip.AddrPort) bool {
--- a/internal/membership/broadcast.go
+++ b/internal/membership/broadcast.go
@@ -24,7 +24,7 @@
 }
 
 // approximateMemberSize is a member's CBOR form in bytes, from above.
-const approximateMemberSize = 72
+const approximateMemberSize = 80
 
 func (q *broadcastQueue) addMember(member Member) {
 	q.items = slices.DeleteFunc(q.items, func(item broadcast) bool {
