--- a/internal/followed/budget.go
+++ b/internal/followed/budget.go
@@ -4,11 +4,8 @@
 
 const (
 	// answersShare is how much of its link a daemon gives to whole contents for daemons
-	// that start, on average, and answersBurst how much of it at once. A fast link of 200
-	// Mbit/s bears 750 KB at once and 150 KB/s, one of 10 Mbit/s 37 KB and 7.5 KB/s. Beyond,
-	// askers are sent on to others that know as much, so that they spread as a tree.
+	// that start, on average: 150 KB/s of 200 Mbit/s, 7.5 KB/s of 10 Mbit/s.
 	answersShare = 0.006
-	answersBurst = 30 * time.Millisecond
 	// mostRedirects is how often an asker is sent on before it is answered all the same.
 	mostRedirects = 3
 )
@@ -17,8 +14,10 @@
 // An answer may overdraw it: its length is known once it is given.
 type answerBudget struct {
 	bytesPerSecond float64
-	spent          float64
-	at             time.Time
+	// burst is how much of the link may be given at once; 0 is no bound.
+	burst time.Duration
+	spent float64
+	at    time.Time
 	// last is how many bytes the last whole content had.
 	last float64
 }
@@ -26,7 +25,8 @@
 // isSpent reports whether no more is to be given now.
 func (b *answerBudget) isSpent(now time.Time) bool {
 	b.refill(now)
-	return b.bytesPerSecond > 0 && b.spent >= b.bytesPerSecond*answersBurst.Seconds()
+	most := b.bytesPerSecond * b.burst.Seconds()
+	return most > 0 && b.spent >= most
 }
 
 // give takes in that a whole content is given, as long as the last one was.
--- /dev/null
+++ b/internal/followed/strength_test.go
@@ -0,0 +1,155 @@
+package followed
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/passtray/passtray/internal/identity"
+	"github.com/passtray/passtray/internal/membership"
+)
+
+// machine is a member with a link in Mbit/s, a processor in thousandths and memory in MB.
+func machine(number byte, link, processor, memory uint32) membership.Member {
+	return membership.Member{
+		Identity: identity.Identity{Address: peerAddress(number), Start: identity.NewStart(1, uint64(number))},
+		Link:     link, Processor: processor, Memory: memory, Status: membership.Alive,
+	}
+}
+
+func TestAMachineIsAsStrongAsWhatItHasLeastOf(t *testing.T) {
+	members := []membership.Member{
+		machine(1, 200, 800, 536), machine(2, 10, 800, 536), machine(3, 200, 144, 536),
+		machine(4, 200, 800, 64), machine(5, 100, 400, 268),
+	}
+	most := strengthsOf(members)
+	var strong []int
+	for index := range members {
+		if most.isStrong(&members[index]) {
+			strong = append(strong, index+1)
+		}
+	}
+	assert.DeepEqual(t, strong, []int{1, 5})
+}
+
+func TestSomebodyIsAlwaysStrong(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 1000 {
+		var members []membership.Member
+		for number := range byte(1 + random.IntN(9)) {
+			members = append(members, machine(number, random.Uint32N(3)*100, random.Uint32N(1000), random.Uint32N(1000)))
+		}
+		most := strengthsOf(members)
+		strong := 0
+		for index := range members {
+			if most.isStrong(&members[index]) {
+				strong++
+			}
+		}
+		assert.Assert(t, strong > 0, "%v", members)
+	}
+}
+
+// newMixedMembers are so many machines, every tenth of them strong.
+func newMixedMembers(count int) []membership.Member {
+	var members []membership.Member
+	for number := range count {
+		member := machine(byte(number), 10, 144, 144)
+		if number%10 == 0 {
+			member = machine(byte(number), 200, 800, 536)
+		}
+		members = append(members, member)
+	}
+	return members
+}
+
+func TestEveryDaemonIsToldByTwoRelays(t *testing.T) {
+	members := newMixedMembers(100)
+	most := strengthsOf(members)
+	told := map[netip.AddrPort]int{}
+	longest := 0
+	for index := range members {
+		chosen := newRelays(members, &most, members[index].Identity.Address, 48)
+		assert.Equal(t, chosen.isRelay, index%10 == 0)
+		longest = max(longest, len(chosen.audience))
+		for _, address := range chosen.audience {
+			told[address]++
+		}
+	}
+	for index := range members {
+		expected := relaysEach
+		if index%10 == 0 {
+			expected = 0 // whoever read the news tells relays
+		}
+		assert.Equal(t, told[members[index].Identity.Address], expected, "daemon %d", index)
+	}
+	assert.Assert(t, longest <= 40, "%d for one relay, 18 on average", longest)
+}
+
+func TestWhereAllAreAlikeOrFewThereAreNoRelays(t *testing.T) {
+	var alike []membership.Member
+	for number := range byte(100) {
+		alike = append(alike, machine(number, 10, 144, 144))
+	}
+	for name, members := range map[string][]membership.Member{
+		"alike": alike, "few": newMixedMembers(40), "one strong": newMixedMembers(100)[1:20],
+	} {
+		most := strengthsOf(members)
+		assert.Equal(t, len(newRelays(members, &most, members[0].Identity.Address, 48).addresses), 0, name)
+	}
+	most := strengthsOf(newMixedMembers(100))
+	assert.Equal(t, len(newRelays(newMixedMembers(100), &most, peerAddress(0), 0).addresses), 0, "switched off")
+}
+
+// TestWholeContentsKeepToALinksBudget: askers are sent on, but none for ever.
+func TestWholeContentsKeepToALinksBudget(t *testing.T) {
+	serving := newTestFleet(DefaultFleetConfig().ForLink(10 * megabit))
+	serving.follower.Learn(testStart, wholeDelta())
+	serving.group.Merge(testStart, []membership.Member{machine(3, 10, 144, 144)})
+	serving.informed.add(peerAddress(3))
+	ask := func(now time.Time, redirects int) bool {
+		delta := serving.Serve(now, &Pull{Redirects: redirects})
+		serving.NoteGiven(&delta, 20<<10)
+		return !delta.IsRedirect
+	}
+	given := 0
+	for range 10 {
+		if ask(testStart, 0) {
+			given++
+		}
+	}
+	assert.Equal(t, given, 4, "75 KB at once")
+	assert.Assert(t, ask(testStart, mostRedirects))
+	assert.Assert(t, ask(testStart.Add(time.Minute), 0))
+}
+
+func TestWithNobodyElseToAskABudgetDeniesNothing(t *testing.T) {
+	serving := newTestFleet(DefaultFleetConfig().ForLink(10 * megabit))
+	serving.follower.Learn(testStart, wholeDelta())
+	for range 10 {
+		delta := serving.Serve(testStart, &Pull{})
+		serving.NoteGiven(&delta, 20<<10)
+		assert.Assert(t, !delta.IsRedirect)
+	}
+}
+
+// TestLongNewsIsAskedForAtOnce: gossip will not bring it.
+func TestLongNewsIsAskedForAtOnce(t *testing.T) {
+	for name, isLong := range map[string]bool{"long": true, "short": false} {
+		t.Run(name, func(t *testing.T) {
+			fleet := newTestFleet(DefaultFleetConfig())
+			fleet.follower.Learn(testStart, wholeDelta())
+			fleet.reconcileAt = testStart.Add(time.Hour)
+			fleet.noteAhead(testStart, peerAddress(3), 100)
+			if isLong {
+				fleet.noteLongNews(&Delta{Since: 100, Until: 100})
+			}
+			_, found := fleet.peerToAsk(testStart)
+			assert.Equal(t, found, isLong, fmt.Sprint(fleet.View().Revision()))
+		})
+	}
+}
--- a/internal/simulation/links.go
+++ b/internal/simulation/links.go
@@ -44,6 +44,9 @@
 	SnapshotBytes int64
 	BusyAfter     time.Duration
 
+	// Given counts what daemons gave each other in bytes, by who gave it.
+	Given map[int]int64
+
 	store   link
 	daemons map[int]*link
 }
@@ -61,7 +64,7 @@
 		},
 		ConfigurationBytes: 300 << 10, TargetBytes: 300, GivenUpBytes: 64 << 10,
 		SnapshotBytes: 64 << 10, BusyAfter: 100 * time.Millisecond,
-		daemons: map[int]*link{},
+		Given: map[int]int64{}, daemons: map[int]*link{},
 	}
 }
 
@@ -109,5 +112,6 @@
 	if delta.Since > 0 || len(delta.Entries) == 0 {
 		return 0
 	}
+	l.Given[from] += l.SnapshotBytes
 	return max(l.of(from).carry(now, l.SnapshotBytes), l.of(to).carry(now, l.SnapshotBytes))
 }
--- /dev/null
+++ b/internal/simulation/strength_test.go
@@ -0,0 +1,191 @@
+package simulation
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/passtray/passtray/internal/followed"
+	"github.com/passtray/passtray/internal/membership"
+)
+
+const (
+	mixedDaemons = 60
+	// strongEvery is which part of the machines are strong.
+	strongEvery = 10
+	// mostCallsPerSecond is what all daemons together may ask a store that is well, while
+	// strong ones are lost.
+	mostCallsPerSecond = 20
+)
+
+// startMixedRun starts a fleet of few strong machines and many weak ones.
+func startMixedRun(seed uint64, config followed.FleetConfig) *readersRun {
+	fleet := NewFollowedFleet(seed, mixedDaemons, testZones, config, DefaultNetworkConfig())
+	fleet.Describe = func(daemon int, self *membership.Member) {
+		self.Link, self.Processor, self.Memory = 10, 144, 144
+		if daemon%strongEvery == 0 {
+			self.Link, self.Processor, self.Memory = 200, 800, 536
+		}
+	}
+	run := &readersRun{followedRun: newFollowedRun(seed, fleet)}
+	run.configure()
+	for range 12 {
+		run.addTarget()
+	}
+	for index := range run.Daemons {
+		run.Start(index)
+	}
+	run.Clock.Advance(5 * time.Second)
+	return run
+}
+
+// newsTakes returns how long a target's news takes to every daemon, at worst of some.
+func (r *readersRun) newsTakes() time.Duration {
+	longest := time.Duration(0)
+	for range 10 {
+		r.Clock.Advance(700 * time.Millisecond)
+		r.addTarget()
+		revision, written := r.Store.Revision(), r.Clock.Now()
+		for r.Clock.Now().Sub(written) < 5*time.Second && !r.allKnow(revision) {
+			r.Clock.Advance(time.Millisecond)
+		}
+		longest = max(longest, r.Clock.Now().Sub(written))
+	}
+	return longest
+}
+
+func (r *readersRun) allKnow(revision uint64) bool {
+	for _, daemon := range r.Daemons {
+		if daemon.Core != nil && daemon.Core.View().Revision() < revision {
+			return false
+		}
+	}
+	return true
+}
+
+// TestStrongDaemonsBringNewsToAll in two hops; without relays gossip needs several rounds of
+// a tick each.
+func TestStrongDaemonsBringNewsToAll(t *testing.T) {
+	const within = 50 * time.Millisecond
+	config := followed.DefaultFleetConfig()
+	config.Follower.Gather = 0
+	with := startMixedRun(1, config).newsTakes()
+	config.RelaysFrom = 0
+	without := startMixedRun(1, config).newsTakes()
+	t.Logf("news takes %s with relays, %s without", with, without)
+	assert.Assert(t, with <= within, "%s", with)
+	assert.Assert(t, without > within, "%s", without)
+}
+
+// disturbStrong lets a strong daemon die, freeze, or lose the store or its peers.
+func (r *readersRun) disturbStrong() {
+	daemon := r.random.IntN(mixedDaemons/strongEvery) * strongEvery
+	span := 500*time.Millisecond + time.Duration(r.random.Int64N(int64(6*time.Second)))
+	r.lose()
+	r.Clock.After(span, r.lose)
+	switch r.random.IntN(4) {
+	case 0:
+		r.restart(daemon, span)
+	case 1:
+		r.Pause(daemon, span)
+	case 2:
+		r.mark(r.unreachable, daemon, span, false)
+	case 3:
+		r.mark(r.unreachable, daemon, span, false)
+		r.mark(r.parted, daemon, span, true)
+		r.Daemons[daemon].TroubledAt = r.Clock.Now().Add(span)
+	}
+}
+
+// TestNewsArrivesWhileStrongDaemonsAreLost: they die, freeze, or are cut off, and calls stay
+// few.
+func TestNewsArrivesWhileStrongDaemonsAreLost(t *testing.T) {
+	for seed := range uint64(6) {
+		run := startMixedRun(seed, followed.DefaultFleetConfig())
+		before, seconds := run.Store.Calls, 60
+		run.playNews(seconds, run.disturbStrong)
+		assert.Equal(t, len(run.Violations), 0, "seed %d: %v", seed, run.Violations)
+		calls := run.Store.Calls - before
+		t.Logf("seed %d: %d calls in %d s", seed, calls, seconds)
+		assert.Assert(t, calls <= mostCallsPerSecond*seconds, "seed %d: %d calls", seed, calls)
+	}
+}
+
+// loseReader takes the reader away once, and plays on.
+func (r *readersRun) loseReader(way func(daemon int, span time.Duration)) {
+	const span = 8 * time.Second
+	for index, daemon := range r.Daemons {
+		if daemon.Core != nil && daemon.Core.IsReading() {
+			way(index, span)
+		}
+	}
+	r.lose()
+	r.playNews(int(span.Seconds()), func() {})
+}
+
+// TestALostStrongReaderIsReplaced whichever way it is lost. With weak daemons that wait for
+// strong ones for ever it is not.
+func TestALostStrongReaderIsReplaced(t *testing.T) {
+	for name, isWaiting := range map[string]bool{"as it is": false, "weak ones wait": true} {
+		config := followed.DefaultFleetConfig()
+		if isWaiting {
+			config.FreshFor = time.Hour
+		}
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(4) {
+				run := startMixedRun(seed, config)
+				run.loseReader(func(daemon int, span time.Duration) {
+					switch seed {
+					case 0:
+						run.restart(daemon, span)
+					case 1:
+						run.Pause(daemon, span)
+					case 2:
+						run.mark(run.unreachable, daemon, span, false)
+					case 3:
+						run.mark(run.unreachable, daemon, span, false)
+						run.mark(run.parted, daemon, span, true)
+					}
+				})
+				t.Logf("way %d: %d violations", seed, len(run.Violations))
+				if !isWaiting {
+					assert.Equal(t, len(run.Violations), 0, "way %d: %v", seed, run.Violations)
+				} else {
+					assert.Assert(t, len(run.Violations) > 0, "way %d", seed)
+				}
+			}
+		})
+	}
+}
+
+// mostGiven starts a fleet at once and returns what its busiest daemon gives others, and by
+// when nine tenths have a configuration.
+func mostGiven(seed uint64, daemons int, config followed.FleetConfig) (bytes int64, ready time.Duration) {
+	run := newColdStart(seed, daemons, fewTargets, config)
+	run.Clock.Advance(3 * time.Second)
+	for _, given := range run.Links.Given {
+		bytes = max(bytes, given)
+	}
+	return bytes, run.readyAfter(0.9)
+}
+
+// TestWholeContentsSpreadOverAFleetThatStarts: what the busiest gives grows by less than the
+// root of the number of daemons, and starts wait little for it.
+func TestWholeContentsSpreadOverAFleetThatStarts(t *testing.T) {
+	if testing.Short() {
+		t.Skip("300 daemons take minutes under the race detector; a seeded model has no races")
+	}
+	for seed := range uint64(3) {
+		config := followed.DefaultFleetConfig()
+		few, _ := mostGiven(seed, 30, config)
+		many, ready := mostGiven(seed, 300, config)
+		config.AnswersBurst = 0
+		without, readyWithout := mostGiven(seed, 300, config)
+		t.Logf("seed %d: busiest gives %d KB of 30, %d KB of 300 (nine tenths ready after %s); %d KB without a budget (%s)",
+			seed, few>>10, many>>10, ready, without>>10, readyWithout)
+		assert.Assert(t, many*many <= 10*few*few, "seed %d", seed)
+		assert.Assert(t, many*4 <= without*3, "seed %d", seed)
+		assert.Assert(t, ready <= readyWithout+100*time.Millisecond, "seed %d", seed)
+	}
+}
