Relays: news in quick succession is left to gossip

In a roll some four pieces of news come a second: each went to all past gossip, which gathers them else, and each long one was asked for by all.

Change: two pieces go past gossip at once, then one a second; long news is asked for at once as often.

Ruled out: the reader leaving its audience to the second relay. A lost datagram then costs a round of gossip (52 ms in virtual time in the place of 10).

The simulated test of relays gives news 1.1 s apart in the place of 0.7 s; its bounds are as they were.

--- a/internal/followed/relays.go
+++ b/internal/followed/relays.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -18,6 +19,12 @@
 	// relaysEach is how many relays tell each daemon. One of them may be lost; where both
 	// are, gossip brings the news some 0.3 s later.
 	relaysEach = 2
+	// directBurst is how much news in quick succession goes past gossip, directInterval
+	// after how long another piece may. With 302 daemons and every piece told directly, in
+	// a roll of all the fleet's daemons took 31 % more processor time: gossip gathers what
+	// follows quickly, and each long piece was asked for by all.
+	directBurst    = 2
+	directInterval = time.Second
 )
 
 // relays are the strong daemons that pass news on to the others. They need no election:
@@ -98,14 +105,31 @@
 	return Role{IsStrong: f.isStrong, IsRelay: f.relays.isRelay, Audience: len(f.relays.audience)}
 }
 
-// tellDirectly sends news past gossip to those that this daemon is to tell: a relay its
-// audience, and whoever read the news in the store the relays.
-func (f *Fleet) tellDirectly(payload []byte, hasRead bool) {
-	var to []netip.AddrPort
+// pacer allows a burst, and then one piece an interval (a token bucket).
+type pacer struct {
+	// fullAt is when the whole burst is allowed again.
+	fullAt time.Time
+}
+
+// allow reports whether another piece may go now, and takes it for gone.
+func (p *pacer) allow(now time.Time) bool {
+	if p.fullAt.Sub(now) > (directBurst-1)*directInterval {
+		return false
+	}
+	p.fullAt = maxTime(p.fullAt, now).Add(directInterval)
+	return true
+}
+
+// tellDirectly sends news past gossip to those that this daemon is to tell: whoever read it
+// in the store the relays, and a relay its audience.
+func (f *Fleet) tellDirectly(now time.Time, payload []byte, hasRead bool) {
+	to := f.relays.audience
 	if hasRead {
-		to = append(to, f.relays.addresses...)
+		to = slices.Concat(f.relays.addresses, to)
+	}
+	if len(to) == 0 || !f.directPace.allow(now) {
+		return
 	}
-	to = append(to, f.relays.audience...)
 	for _, address := range to {
 		if address != f.self.Identity.Address {
 			f.direct = append(f.direct, f.group.TellNews(address, payload))
