Followed: what an older peer tells of what has gone is told on as gone

Cause: a daemon that listed the store and then hears from a peer that is behind of a target that the list lacks holds it as gone, under the entry's own revision. Whoever still held the target took its removal for no newer, and kept it for ever: schedule 100 of TestOrdersKeepTheBoundsUnderEverySchedule, 10 targets at all daemons, 9 in the store.

Change: the removal has the revision up to which all is known, as that of a list has.

--- a/internal/followed/records.go
+++ b/internal/followed/records.go
@@ -102,6 +102,8 @@
 	delete(r.gone, record.Key)
 	if record.Gone {
 		r.gone[record.Key] = true
+		// Others that hold the entry must take its removal for newer.
+		record.Revision = upTo
 	}
 	delete(r.removed, record.Key)
 	learned.note(change, !isHeld || held.state() != learned.state())
