Liveness: an early verdict needs the failed probes of two judges

Ruled out: three judges for each report (the ranks of those that follow are later by 150 ms). Change: a judge whose early probe failed tells the others; an early question needs the caller of one daemon and the failed probes of two others. A daemon that is itself among the judges tells the next one, too.

--- a/internal/followed/liveness.go
+++ b/internal/followed/liveness.go
@@ -26,7 +26,7 @@
 	var order []netip.AddrPort
 	batches := map[netip.AddrPort][]liveness.Report{}
 	for index := range reports {
-		for rank, address := range f.audience(&reports[index]) {
+		for rank, address := range f.recipients(&reports[index]) {
 			if address == f.self.Identity.Address {
 				continue
 			}
@@ -49,6 +49,18 @@
 	return datagrams
 }
 
+// recipients returns the audience of a report. If this daemon is one of the judges, the next one
+// judges, too: as many others then see more than it does.
+func (f *Fleet) recipients(report *liveness.Outgoing) []netip.AddrPort {
+	recipients := f.audience(report)
+	if report.Judges == 0 || !slices.Contains(recipients, f.self.Identity.Address) {
+		return recipients
+	}
+	more := *report
+	more.Judges++
+	return f.audience(&more)
+}
+
 // audience returns the daemons that a report is for, this one perhaps among them.
 func (f *Fleet) audience(report *liveness.Outgoing) []netip.AddrPort {
 	if report.To.IsValid() {
--- a/internal/liveness/config.go
+++ b/internal/liveness/config.go
@@ -22,7 +22,7 @@
 	// round trip and the time in which a busy daemon reads its datagrams.
 	ObjectFor time.Duration
 	// EarlyProbes bounds the probes that a judge makes in a second at the first evidence of
-	// one other daemon, and EarlyBurst those at once. If one fails, the judge asks all without
+	// one other daemon, and EarlyBurst those at once. If two judges' fail, one asks all without
 	// waiting for a second daemon's callers, and probes again. Connections to targets are
 	// priced, and lost packets alone bring some 30 such reports a second to 33 daemons whose
 	// links lose 2.5 % of them.
--- a/internal/liveness/detector.go
+++ b/internal/liveness/detector.go
@@ -145,7 +145,7 @@
 	case probe.IsAlone:
 		suspected.alone = probeFailed
 	case probe.IsEarly:
-		suspected.early = probeFailed
+		d.noteEarly(now, probe.Subject, suspected)
 	case suspected.askedHere:
 		suspected.probesLeft--
 	}
@@ -197,7 +197,7 @@
 			return
 		}
 		suspected.rank = report.Rank
-		suspected.evidence[report.From] = evidence{since: since, until: now.Add(d.config.Window), flows: report.Flows, sends: report.Sends}
+		suspected.takeEvidence(report, evidence{since: since, until: now.Add(d.config.Window), flows: report.Flows, sends: report.Sends})
 		d.probeEarly(now, directory, report.Subject, suspected, output)
 		d.judge(now, directory, report.Subject, suspected, output)
 	case Asked:
--- a/internal/liveness/early.go
+++ b/internal/liveness/early.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// earlyWitnesses is how many daemons besides the judge must fail to reach a target that it
+// probed early: with one, two daemons that lost 30 % of their packets buried a living one.
+const earlyWitnesses = 2
+
 // budget bounds what may be done in a second.
 type budget struct {
 	left float64
@@ -22,7 +26,8 @@
 }
 
 // probeEarly probes a target at the first evidence of one other daemon. All of the first
-// judges do: one that is answered objects when another one asks.
+// judges do: they tell each other of failures, and one that is answered objects when another
+// one asks.
 func (d *Detector) probeEarly(now time.Time, directory Directory, subject Subject, suspected *suspect, output *Output) {
 	_, _, since := suspected.weigh()
 	if subject.Zone != "" || suspected.early != probeNone || !reachesTargets(directory, since) {
@@ -35,16 +40,26 @@
 	output.Probes = append(output.Probes, Probe{Subject: subject, Target: subject.Target, IsEarly: true})
 }
 
-// isEnoughEarly reports whether a probe of this daemon failed as callers of another one were
-// not acknowledged: neither's own path explains both.
-func (s *suspect) isEnoughEarly() bool {
-	if s.early != probeFailed {
-		return false
+// noteEarly takes in that an early probe failed, and tells the other judges: it counts as the
+// word of a daemon without callers.
+func (d *Detector) noteEarly(now time.Time, subject Subject, suspected *suspect) {
+	suspected.early = probeFailed
+	_, _, since := suspected.weigh()
+	if !since.IsZero() {
+		report := Report{Subject: subject, Kind: Silent}
+		d.observed.tell(Outgoing{Judges: d.config.FirstJudges, Report: report}, now.Sub(since))
 	}
-	for reporter := range s.evidence {
+}
+
+// isEnoughEarly reports whether the probes of this daemon and of a second one failed as callers
+// of a third were not acknowledged: no two lost paths explain all.
+func (s *suspect) isEnoughEarly() bool {
+	flows, others := 0, 0
+	for reporter, held := range s.evidence {
 		if reporter != self {
-			return true
+			others++
+			flows += held.flows
 		}
 	}
-	return false
+	return s.early == probeFailed && others >= earlyWitnesses && flows > 0
 }
--- a/internal/liveness/suspect.go
+++ b/internal/liveness/suspect.go
@@ -57,6 +57,16 @@
 	return &suspect{evidence: map[netip.AddrPort]evidence{}, flows: map[uint64]bool{}}
 }
 
+// takeEvidence takes in what another daemon tells. That its probe failed, too, takes nothing of
+// what it told of its callers.
+func (s *suspect) takeEvidence(report *Received, told evidence) {
+	if held, isHeld := s.evidence[report.From]; isHeld && report.Sends == 0 {
+		held.until = told.until
+		told = held
+	}
+	s.evidence[report.From] = told
+}
+
 // seeLife takes in a sign of life, and reports whether it is later than those before.
 // Silence that began before it says nothing any more.
 func (s *suspect) seeLife(at time.Time) bool {
--- a/internal/simulation/resting_test.go
+++ b/internal/simulation/resting_test.go
@@ -149,3 +149,11 @@
 	run.play()
 	assert.Equal(t, len(run.Violations), 0, "%v", run.Violations)
 }
+
+// TestTwoDaemonsThatLosePacketsBuryNoTarget: in this schedule one of them had a caller, and the
+// other one judged and lost both of its probes.
+func TestTwoDaemonsThatLosePacketsBuryNoTarget(t *testing.T) {
+	run := startPooled(760, ToldAtVerdict)
+	run.playCrashes(true)
+	assert.Equal(t, len(run.Violations), 0, "%v", run.Violations)
+}
