Liveness: a judge whose own path may be lost proves nothing with its probes

Change: a failed early probe is told to other judges, and counts for a verdict, only once an answer to something that this daemon forwarded after the probe began has come. All may be asked before.

--- a/internal/liveness/detector.go
+++ b/internal/liveness/detector.go
@@ -145,7 +145,7 @@
 	case probe.IsAlone:
 		suspected.alone = probeFailed
 	case probe.IsEarly:
-		d.noteEarly(now, probe.Subject, suspected)
+		suspected.early = probeFailed
 	case suspected.askedHere:
 		suspected.probesLeft--
 	}
@@ -238,6 +238,7 @@
 		if wasDead && !suspected.isDead(now) {
 			output.tell(Outgoing{Report: Report{Subject: subject, Kind: Alive}}, now.Sub(suspected.lifeAt))
 		}
+		d.tellEarly(now, directory, subject, suspected, &output)
 		d.judge(now, directory, subject, suspected, &output)
 		d.judgeAlone(now, directory, subject, suspected, &output)
 		d.repeat(now, subject, suspected, &output)
--- a/internal/liveness/early.go
+++ b/internal/liveness/early.go
@@ -36,30 +36,45 @@
 	if !d.early.take(now, d.config.EarlyProbes, d.config.EarlyBurst) {
 		return
 	}
-	suspected.early = probePending
+	suspected.early, suspected.earlyAt = probePending, now
 	output.Probes = append(output.Probes, Probe{Subject: subject, Target: subject.Target, IsEarly: true})
 }
 
-// noteEarly takes in that an early probe failed, and tells the other judges: it counts as the
-// word of a daemon without callers.
-func (d *Detector) noteEarly(now time.Time, subject Subject, suspected *suspect) {
-	suspected.early = probeFailed
-	_, _, since := suspected.weigh()
-	if !since.IsZero() {
+// tellEarly tells the other judges once that an early probe failed: it counts as the word of a
+// daemon without callers. This daemon's own path must have held since the probe began: it may
+// have been lost just then.
+func (d *Detector) tellEarly(now time.Time, directory Directory, subject Subject, suspected *suspect, output *Output) {
+	if suspected.early != probeFailed || suspected.earlyTold || !reachesTargets(directory, suspected.earlyAt) {
+		return
+	}
+	suspected.earlyTold = true
+	if _, _, since := suspected.weigh(); !since.IsZero() {
 		report := Report{Subject: subject, Kind: Silent}
-		d.observed.tell(Outgoing{Judges: d.config.FirstJudges, Report: report}, now.Sub(since))
+		output.tell(Outgoing{Judges: d.config.FirstJudges, Report: report}, now.Sub(since))
 	}
 }
 
-// isEnoughEarly reports whether the probes of this daemon and of a second one failed as callers
-// of a third were not acknowledged: no two lost paths explain all.
-func (s *suspect) isEnoughEarly() bool {
-	flows, others := 0, 0
+// witnesses counts the other daemons that do not reach a target, and their flows.
+func (s *suspect) witnesses() (others, flows int) {
 	for reporter, held := range s.evidence {
 		if reporter != self {
 			others++
 			flows += held.flows
 		}
 	}
-	return s.early == probeFailed && others >= earlyWitnesses && flows > 0
+	return others, flows
+}
+
+// isEnoughEarly reports whether the probe of this daemon failed as callers of another one were
+// not acknowledged: enough to ask all.
+func (s *suspect) isEnoughEarly() bool {
+	_, flows := s.witnesses()
+	return s.early == probeFailed && flows > 0
+}
+
+// isProvenEarly reports whether, besides, a third daemon's probe failed, and this one's path held
+// since its own began: no two lost paths explain all.
+func (s *suspect) isProvenEarly(directory Directory) bool {
+	others, _ := s.witnesses()
+	return s.isEnoughEarly() && others >= earlyWitnesses && reachesTargets(directory, s.earlyAt)
 }
--- a/internal/liveness/early_test.go
+++ b/internal/liveness/early_test.go
@@ -46,19 +46,23 @@
 	}
 }
 
-// TestOneWitnessIsNotEnough besides the judge.
+// TestOneWitnessIsNotEnough besides the judge, nor a judge whose own path may be lost.
 func TestOneWitnessIsNotEnough(t *testing.T) {
-	suspected := newSuspect()
-	suspected.early = probeFailed
+	suspected, now := newSuspect(), testStart
+	suspected.early, suspected.earlyAt = probeFailed, testStart.Add(-time.Millisecond)
+	directory := &fakeDirectory{now: &now}
 	suspected.evidence[addressOf(1)] = evidence{flows: 1, sends: 1}
-	assert.Assert(t, !suspected.isEnoughEarly(), "its callers alone")
+	assert.Assert(t, !suspected.isProvenEarly(directory), "its callers alone")
 	suspected.evidence[self] = evidence{flows: 1, sends: 1}
-	assert.Assert(t, !suspected.isEnoughEarly(), "nor the judge's own")
+	assert.Assert(t, !suspected.isProvenEarly(directory), "nor the judge's own")
 	suspected.evidence[addressOf(2)] = evidence{}
-	assert.Assert(t, suspected.isEnoughEarly(), "and another one's probe")
+	assert.Assert(t, suspected.isProvenEarly(directory), "and another one's probe")
+	suspected.earlyAt = now
+	assert.Assert(t, !suspected.isProvenEarly(directory), "no answer came since the judge's own probe began")
+	suspected.earlyAt = testStart.Add(-time.Millisecond)
 	delete(suspected.evidence, addressOf(1))
 	suspected.evidence[addressOf(3)] = evidence{}
-	assert.Assert(t, !suspected.isEnoughEarly(), "no probes without a caller")
+	assert.Assert(t, !suspected.isProvenEarly(directory), "no probes without a caller")
 }
 
 // TestEarlyProbesAreBounded: lost packets make one daemon report many targets.
--- a/internal/liveness/judge.go
+++ b/internal/liveness/judge.go
@@ -50,6 +50,9 @@
 	if suspected.probesLeft > 0 || now.Sub(suspected.askedAt) < d.config.ObjectFor || silence < d.silenceNeeded(directory.ExpectedRate(subject)) {
 		return
 	}
+	if !d.hasCallersOfSeveral(suspected) && !suspected.isProvenEarly(directory) {
+		return
+	}
 	verdict := Verdict{Silence: silence, Reporters: len(suspected.evidence), Flows: flows, Sends: sends}
 	output.tell(Outgoing{Report: Report{Subject: subject, Kind: Dead}}, silence)
 	d.bury(now, subject, suspected, verdict, output)
@@ -120,9 +123,10 @@
 
 // isEnough reports whether the evidence suffices to ask all.
 func (d *Detector) isEnough(suspected *suspect) bool {
-	if suspected.isEnoughEarly() {
-		return true
-	}
+	return suspected.isEnoughEarly() || d.hasCallersOfSeveral(suspected)
+}
+
+func (d *Detector) hasCallersOfSeveral(suspected *suspect) bool {
 	flows, sends, _ := suspected.weigh()
 	return len(suspected.evidence) >= d.config.Reporters && flows >= d.config.Flows && sends >= d.config.Sends
 }
--- a/internal/liveness/suspect.go
+++ b/internal/liveness/suspect.go
@@ -22,10 +22,12 @@
 	probesLeft int
 	// alone is how the probe ended by which this daemon judges alone.
 	alone probeState
-	// early is how the probe ended that was made at the first evidence, probedAt when one
-	// ended last.
-	early    probeState
-	probedAt time.Time
+	// early is how the probe ended that was made at the first evidence, at earlyAt; earlyTold
+	// says that others were told of its failure. probedAt is when any probe ended last.
+	early     probeState
+	earlyAt   time.Time
+	earlyTold bool
+	probedAt  time.Time
 	// rank is this daemon's among the judges, enoughAt since when the evidence is enough.
 	rank     int
 	enoughAt time.Time
@@ -97,7 +99,8 @@
 
 func (s *suspect) forgetQuestion() {
 	s.askedAt, s.enoughAt = time.Time{}, time.Time{}
-	s.askedHere, s.probesLeft, s.alone, s.early = false, 0, probeNone, probeNone
+	s.askedHere, s.probesLeft, s.alone = false, 0, probeNone
+	s.early, s.earlyTold = probeNone, false
 }
 
 // weigh sums the evidence. since is when the silence began that all of it is of.
--- a/internal/simulation/lives_test.go
+++ b/internal/simulation/lives_test.go
@@ -80,6 +80,13 @@
 	})
 }
 
+// TestAJudgeThatWasJustCutOffBuriesNoTarget: in this schedule two daemons were cut off from all
+// targets between the send that a third one's caller repeated and their probes.
+func TestAJudgeThatWasJustCutOffBuriesNoTarget(t *testing.T) {
+	violations := resetsOfTheLiving(606, liveness.DefaultConfig(), false)
+	assert.Equal(t, len(violations), 0, "%v", violations)
+}
+
 // TestOneDaemonsWordResetsLivingFlows: the check finds a detector that takes one daemon's
 // word, and neither probes nor waits for objections.
 func TestOneDaemonsWordResetsLivingFlows(t *testing.T) {
