Steering by token: an answer acknowledged with the next request is no sign of life of now

An end acknowledges every second packet, so that a caller that rests acknowledges a short answer with its next request; that counted as a sign of life of the moment, ended the evidence and delayed verdicts. Change: such an acknowledgement shows that the target lived when the answered request was sent; a sign of life never goes back.

--- a/internal/steering/token/dead_test.go
+++ b/internal/steering/token/dead_test.go
@@ -120,6 +120,14 @@
 		flow.send(101, 900, 0)
 		assert.Assert(t, lifeOf(flow).Equal(flow.now))
 	})
+	t.Run("an answer that is acknowledged with the next request is one of when it was asked", func(t *testing.T) {
+		flow := newExchange(t)
+		asked := flow.now
+		flow.send(1, 500, 100)
+		flow.now = flow.now.Add(3 * time.Second) // the caller rests, and the target may die
+		flow.send(101, 900, 100)
+		assert.Assert(t, lifeOf(flow).Equal(asked))
+	})
 	t.Run("an opening packet's answer is one", func(t *testing.T) {
 		site := newSite(t)
 		opened := site.open(rosterAddress, 1)
