--- a/internal/node/followed_speeds.go
+++ b/internal/node/followed_speeds.go
@@ -9,7 +9,7 @@
 
 // estimatesInterval is how often what was told of speeds is put together: observations fade
 // over many seconds.
-const estimatesInterval = 2 * time.Second
+const estimatesInterval = time.Second
 
 // nearMessage is what the zone's daemons are told: of speeds, and of open flows in what is
 // left.
