--- /dev/null
+++ b/internal/node/followed_speeds_test.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/passtray/passtray/internal/loadshare"
+	"github.com/passtray/passtray/internal/targetspeed"
+)
+
+// TestAMessageToTheZoneHoldsSpeedsBehindOpenFlows within the bound of both, and is read
+// whole.
+func TestAMessageToTheZoneHoldsSpeedsBehindOpenFlows(t *testing.T) {
+	now := time.Now()
+	daemonAt := func(number byte) *Followed {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, 2, number}), 7000)
+		return &Followed{
+			loads: loadshare.New(address, 0), speeds: targetspeed.NewExchange(address, 0),
+			plane: &tokenPlane{counters: &tokenCounters{}},
+		}
+	}
+	const slow = loadshare.Mark(3)
+	first, last := daemonAt(100), daemonAt(101)
+	for number := range byte(20) {
+		teller := daemonAt(number)
+		for target := range loadshare.Mark(16) {
+			for range 10 {
+				teller.speeds.Note(now, target, 1)
+			}
+		}
+		for range 90 {
+			teller.speeds.Note(now, slow, 4)
+		}
+		teller.speeds.Tick(now)
+		teller.loads.Tick(now, func() map[uint32]int { return map[uint32]int{uint32(slow) << 16: 2} })
+		message := teller.nearMessage(now)
+		assert.Assert(t, len(message) <= loadshare.MaximumBytes)
+		first.hearLoads(now, [][]byte{message})
+	}
+	for range 20 {
+		message := first.nearMessage(now)
+		assert.Assert(t, len(message) <= loadshare.MaximumBytes)
+		last.hearLoads(now, [][]byte{message})
+	}
+	totals, areWhole := last.loads.Totals(now)
+	assert.Assert(t, areWhole)
+	assert.Equal(t, totals[slow], 40)
+	estimates := last.speeds.Estimates(now)
+	assert.Assert(t, estimates[slow].Speed < 0.5 && estimates[slow+1].Speed == 1)
+	assert.Equal(t, last.counters().loadsUnread.Load(), uint64(0))
+	last.hearLoads(now, [][]byte{{1, 2, 3}})
+	assert.Equal(t, last.counters().loadsUnread.Load(), uint64(1))
+}
