--- a/internal/followed/contacts.go
+++ b/internal/followed/contacts.go
@@ -34,12 +34,6 @@
 	c.heardAt[peer] = now
 }
 
-// has reports whether a peer is remembered.
-func (c *contacts) has(peer netip.AddrPort) bool {
-	_, isKnown := c.heardAt[peer]
-	return isKnown
-}
-
 func (c *contacts) forget(now time.Time) {
 	maps.DeleteFunc(c.heardAt, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) >= contactLifetime })
 }
