Load reports, speeds: one head of reports, one order of passing them on

Two packages wrote and read the same eleven bytes and sorted reports in the same way. Head and InTurn are loadshare's; targetspeed uses them. Bytes on the way are the same: the tests of both codecs, the fuzz target (5 s) and the models of open flows and speeds pass unchanged.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -8,7 +8,6 @@
 package loadshare
 
 import (
-	"cmp"
 	"encoding/binary"
 	"maps"
 	"math"
@@ -124,13 +123,11 @@
 	return totals, true
 }
 
-// A report on its way: the daemon's address (4 bytes) and port (2), its number (4), its
-// age in tenths of a second (1), the number of targets (1), and for each of those its
+// A report on its way: its head, the number of targets (1 byte), and for each of those its
 // mark (2) and count (1). All numbers are big-endian.
 const (
-	headBytes  = 12
+	headBytes  = HeadBytes + 1
 	flowsBytes = 3
-	ageUnit    = 100 * time.Millisecond
 )
 
 // Message returns reports to pass on, those that were passed on least first, and of them
@@ -139,10 +136,7 @@
 
 // MessageWithin does so with at most so many bytes, as something else is told besides.
 func (e *Exchange) MessageWithin(now time.Time, most int) []byte {
-	addresses := slices.SortedFunc(maps.Keys(e.reports), func(a, b netip.AddrPort) int {
-		one, other := e.reports[a], e.reports[b]
-		return cmp.Or(cmp.Compare(one.sent, other.sent), other.at.Compare(one.at), a.Compare(b))
-	})
+	addresses := InTurn(e.reports, func(r *report) Turn { return Turn{Sent: r.sent, At: r.at} })
 	var message []byte
 	for _, address := range addresses {
 		held := e.reports[address]
@@ -156,15 +150,12 @@
 }
 
 func (r *report) append(now time.Time, to []byte, address netip.AddrPort) []byte {
-	host := address.Addr().As4()
-	to = append(to, host[:]...)
-	to = binary.BigEndian.AppendUint16(to, address.Port())
-	to = binary.BigEndian.AppendUint32(to, r.number)
+	to = Head{From: address, Number: r.number, At: r.at}.Append(now, to)
 	count := byte(len(r.flows))
 	if r.isPartial {
 		count = tooMany
 	}
-	to = append(to, byte(min(now.Sub(r.at)/ageUnit, math.MaxUint8)), count)
+	to = append(to, count)
 	for _, flows := range r.flows {
 		to = binary.BigEndian.AppendUint16(to, uint16(flows.Mark))
 		to = append(to, flows.Count)
@@ -191,19 +182,15 @@
 
 // take keeps a report that is newer than the one that is held.
 func (e *Exchange) take(now time.Time, encoded []byte) {
-	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte(encoded)), binary.BigEndian.Uint16(encoded[4:]))
-	told := &report{
-		number:    binary.BigEndian.Uint32(encoded[6:]),
-		at:        now.Add(-time.Duration(encoded[10]) * ageUnit),
-		isPartial: encoded[headBytes-1] == tooMany,
-	}
-	held := e.reports[address]
+	head := DecodeHead(now, encoded)
+	told := &report{number: head.Number, at: head.At, isPartial: encoded[headBytes-1] == tooMany}
+	held := e.reports[head.From]
 	isNews := held == nil && len(e.reports) < maximumReports || held != nil && told.number > held.number
-	if address == e.self || !isNews || now.Sub(told.at) >= lifetime {
+	if head.From == e.self || !isNews || now.Sub(told.at) >= lifetime {
 		return
 	}
 	for rest := encoded[headBytes:]; len(rest) > 0; rest = rest[flowsBytes:] {
 		told.flows = append(told.flows, Flows{Mark: Mark(binary.BigEndian.Uint16(rest)), Count: rest[2]})
 	}
-	e.reports[address] = told
+	e.reports[head.From] = told
 }
--- a/internal/targetspeed/codec.go
+++ b/internal/targetspeed/codec.go
@@ -1,27 +1,22 @@
 package targetspeed
 
 import (
-	"cmp"
 	"encoding/binary"
-	"maps"
 	"math"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/passtray/passtray/internal/loadshare"
 )
 
-// A report on its way: the daemon's address (4 bytes) and port (2), its number (4), its
-// age in tenths of a second (1), a byte that says that it is one on speeds (1), the number
-// of targets (1), and for each of those its mark (2), the logarithm of how many times as
+// A report on its way: its head, a byte that says that it is one on speeds, the number of
+// targets (1), and for each of those its mark (2), the logarithm of how many times as
 // long as usual its answers took, signed, in logUnit (1), and how many answers that rests on
 // (1). All numbers are big-endian. The first 12 bytes are as in reports on open flows,
 // behind which these stand: a daemon that does not know them stops reading there.
 const (
-	headBytes  = 13
+	headBytes  = loadshare.HeadBytes + 2
 	entryBytes = 4
-	ageUnit    = 100 * time.Millisecond
 	logUnit    = 1.0 / 64
 	// mostEntries bounds the targets in one report, so that it fits into MaximumBytes.
 	mostEntries = 20
@@ -33,10 +28,7 @@
 // Message returns reports to pass on, those that were passed on least first, and of them
 // the latest.
 func (e *Exchange) Message(now time.Time) []byte {
-	addresses := slices.SortedFunc(maps.Keys(e.reports), func(a, b netip.AddrPort) int {
-		one, other := e.reports[a], e.reports[b]
-		return cmp.Or(cmp.Compare(one.sent, other.sent), other.at.Compare(one.at), a.Compare(b))
-	})
+	addresses := loadshare.InTurn(e.reports, func(r *report) loadshare.Turn { return loadshare.Turn{Sent: r.sent, At: r.at} })
 	var message []byte
 	for _, address := range addresses {
 		held := e.reports[address]
@@ -53,12 +45,8 @@
 }
 
 func (r *report) append(now time.Time, to []byte, address netip.AddrPort) []byte {
-	host := address.Addr().As4()
-	to = append(to, host[:]...)
-	to = binary.BigEndian.AppendUint16(to, address.Port())
-	to = binary.BigEndian.AppendUint32(to, r.number)
-	age := max(0, now.Sub(r.at)) / ageUnit
-	to = append(to, byte(min(age, math.MaxUint8)), loadshare.OtherKind, byte(len(r.entries)))
+	to = loadshare.Head{From: address, Number: r.number, At: r.at}.Append(now, to)
+	to = append(to, loadshare.OtherKind, byte(len(r.entries)))
 	for _, entry := range r.entries {
 		to = binary.BigEndian.AppendUint16(to, uint16(entry.target))
 		to = append(to, byte(int8(math.Round(entry.times/logUnit))), byte(math.Ceil(entry.weight)))
@@ -82,11 +70,8 @@
 }
 
 func decode(now time.Time, encoded []byte) (netip.AddrPort, *report) {
-	from := netip.AddrPortFrom(netip.AddrFrom4([4]byte(encoded)), binary.BigEndian.Uint16(encoded[4:]))
-	heard := &report{
-		number: binary.BigEndian.Uint32(encoded[6:]),
-		at:     now.Add(-time.Duration(encoded[10]) * ageUnit),
-	}
+	head := loadshare.DecodeHead(now, encoded)
+	heard := &report{number: head.Number, at: head.At}
 	for rest := encoded[headBytes:]; len(rest) > 0; rest = rest[entryBytes:] {
 		heard.entries = append(heard.entries, entry{
 			target: loadshare.Mark(binary.BigEndian.Uint16(rest)),
@@ -94,5 +79,5 @@
 			weight: float64(rest[3]),
 		})
 	}
-	return from, heard
+	return head.From, heard
 }
