Followed: only the first page of a list may be stale; a partial view is none

Cause: a list's later part or page was asked for with leave to be stale, each for itself. One that was older than the first lacked a change whose revision lies below the first's, and the watch that confirms starts above it: an accepted configuration was missed for good, the view counted as confirmed, its new routes were refused. Since daemons with slow links read the targets first, that was the usual start. Ruled out: watching from the revision of the part that is older (an old configuration's history is gone, so that every such start would read all anew). Change: pages after the first are exact, and so no older. A view with a configuration that gossip brought, and no revision up to which it is whole, counts as nothing and ends nobody's list. Tests: TestOnlyTheFirstPageOfAListMayBeStale fails on the code before in both cases; TestAConfigurationThatGossipBroughtIsNoWholeView.

--- a/internal/followed/parts.go
+++ b/internal/followed/parts.go
@@ -11,8 +11,8 @@
 const (
 	// partWhole is all in the order of keys.
 	partWhole part = iota
-	// partTargets is the targets, partRest all else. Together they are a whole list: pages
-	// of one are no snapshot either.
+	// partTargets is the targets, partRest all else. Together they are a whole list, the
+	// second no older than the first: pages of one are no snapshot either.
 	partTargets
 	partRest
 )
@@ -33,13 +33,15 @@
 	return partWhole
 }
 
-// describeList makes a call the next page of the list.
+// describeList makes a call the next page of the list. Only the first may be stale: each
+// stale answer is as old as it likes, and a later page that is older than the first would
+// lack changes that lie before the revision from which changes are watched for, for good.
 func (f *Follower) describeList(call *Call) {
 	if f.part == partWhole && len(f.pages) == 0 {
 		f.part = f.firstPart()
 	}
 	call.Kind = CallList
-	call.AllowStale = !f.exact
+	call.AllowStale = !f.exact && len(f.pages) == 0
 	call.Timeout = f.patient(f.config.ListTimeout)
 	call.MostBytes = f.coldBytes
 	call.AfterKey = f.afterKey
--- /dev/null
+++ b/internal/followed/parts_test.go
@@ -0,0 +1,38 @@
+package followed
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestOnlyTheFirstPageOfAListMayBeStale: of two stale answers the second may be the older
+// one, and a change between them that is not in it would never be watched for.
+func TestOnlyTheFirstPageOfAListMayBeStale(t *testing.T) {
+	t.Run("in two parts", func(t *testing.T) {
+		follower := newSlowFollower(DefaultConfig())
+		first := follower.Tick(testStart).Call
+		assert.Assert(t, first.AllowStale)
+		rest := follower.Step(testStart, answered(first, 105, targetEntry("a", 3), targetEntry("b", 105))).Call
+		assert.Assert(t, rest.WithoutTargets && !rest.AllowStale)
+	})
+	t.Run("in pages", func(t *testing.T) {
+		follower := newTestFollower()
+		page := answered(follower.Tick(testStart).Call, 30, configurationEntry(9, 1))
+		page.More = true
+		second := follower.Step(testStart, page).Call
+		assert.Assert(t, second.AfterKey != "" && !second.AllowStale)
+	})
+}
+
+// TestAConfigurationThatGossipBroughtIsNoWholeView: with targets of an early list alone it must
+// not end another daemon's list.
+func TestAConfigurationThatGossipBroughtIsNoWholeView(t *testing.T) {
+	fleet := newTestFleet(DefaultFleetConfig())
+	fleet.follower.view.Merge(testStart, []Entry{configurationEntry(30, 1), targetEntry("a", 3)})
+	assert.Assert(t, fleet.knowsNothing())
+	asker := newTestFollower()
+	asker.Tick(testStart)
+	asker.Learn(testStart, &Delta{Entries: []Entry{configurationEntry(30, 1), targetEntry("a", 3)}})
+	assert.Equal(t, asker.phase, phaseListing)
+}
