Strength: who tells less makes nobody weak

Cause: a member of an earlier version tells no processor or memory, which counted as more than any machine has: everybody else was weak beside it. In a roll the last daemon of the version before, with 10 Mbit/s, was the only strong one. Change: what is not told counts in full for that member and does not raise the most. Test: TestAMemberThatTellsLessMakesNobodyWeak fails on the code before.

--- a/internal/followed/strength.go
+++ b/internal/followed/strength.go
@@ -1,8 +1,6 @@
 package followed
 
 import (
-	"math"
-
 	"github.com/passtray/passtray/internal/membership"
 )
 
@@ -18,9 +16,9 @@
 	var most strengths
 	for index := range live {
 		member := &live[index]
-		most.link = max(most.link, told(member.Link))
-		most.processor = max(most.processor, told(member.Processor))
-		most.memory = max(most.memory, told(member.Memory))
+		most.link = max(most.link, member.Link)
+		most.processor = max(most.processor, member.Processor)
+		most.memory = max(most.memory, member.Memory)
 	}
 	for index := range live {
 		most.best = max(most.best, most.shareOf(&live[index]))
@@ -31,19 +29,15 @@
 // shareOf is how much a member has of the strongest members' link, processor and memory,
 // whichever it has least of: a role needs all of them.
 func (s *strengths) shareOf(member *membership.Member) float64 {
-	share := func(has, most uint32) float64 { return float64(told(has)) / float64(max(1, most)) }
+	share := func(has, most uint32) float64 {
+		if has == 0 {
+			return 1 // not told, as by earlier versions: it counts as much and makes nobody weak
+		}
+		return float64(has) / float64(max(1, most))
+	}
 	return min(share(member.Link, s.link), share(member.Processor, s.processor), share(member.Memory, s.memory))
 }
 
 // isStrong reports whether a member bears roles: it has at least half of what the strongest
 // has. Where all are alike all are strong.
 func (s *strengths) isStrong(member *membership.Member) bool { return s.shareOf(member) >= s.best/2 }
-
-// told takes what a member does not tell for much, as earlier versions of the program tell
-// less.
-func told(value uint32) uint32 {
-	if value == 0 {
-		return math.MaxUint32
-	}
-	return value
-}
--- a/internal/followed/strength_test.go
+++ b/internal/followed/strength_test.go
@@ -123,7 +123,7 @@
 		}
 	}
 	assert.Equal(t, given, 4, "75 KB at once")
-	assert.Assert(t, ask(testStart, mostRedirects))
+	assert.Assert(t, ask(testStart, MostRedirects))
 	assert.Assert(t, ask(testStart.Add(time.Minute), 0))
 }
 
@@ -167,3 +167,15 @@
 	assert.Assert(t, pace.allow(testStart.Add(time.Minute)))
 	assert.Assert(t, !pace.allow(testStart.Add(time.Minute)))
 }
+
+// TestAMemberThatTellsLessMakesNobodyWeak: an earlier version tells neither processor nor memory.
+func TestAMemberThatTellsLessMakesNobodyWeak(t *testing.T) {
+	var live []membership.Member
+	for range 8 {
+		live = append(live, membership.Member{Link: 200, Processor: 1000, Memory: 512})
+	}
+	old := membership.Member{Link: 10}
+	most := strengthsOf(append(live, old))
+	assert.Assert(t, most.isStrong(&live[0]), "a machine of 200 Mbit/s")
+	assert.Assert(t, !most.isStrong(&old), "a machine of 10 Mbit/s")
+}
