Liveness: failed probes are no callers; a probe from before a sign of life says nothing

Cause: a judge whose early probe failed counted as a second daemon with callers. A daemon that had lost its own path, whose callers sent again, and one lost packet of another judge's probe buried a living target at five daemons of five. And a probe that began before a sign of life, and failed after it, counted against the target's next silence. Change: only evidence of callers counts for the number of daemons that is needed without early probes; an early probe counts while it is awaited. Tests: TestOneLostPathAndOneLostProbeBuryNone and TestAProbeFromBeforeASignOfLifeSaysNothing fail on the code before.

--- a/internal/liveness/detector.go
+++ b/internal/liveness/detector.go
@@ -144,6 +144,8 @@
 		suspected.seeLife(now)
 	case probe.IsAlone:
 		suspected.alone = probeFailed
+	case probe.IsEarly && suspected.early != probePending:
+		// A sign of life came while the probe was under way: it says nothing of a later silence.
 	case probe.IsEarly:
 		suspected.early = probeFailed
 	case suspected.askedHere:
--- a/internal/liveness/early_test.go
+++ b/internal/liveness/early_test.go
@@ -81,3 +81,48 @@
 	most := judges * (config.EarlyBurst + seconds*config.EarlyProbes)
 	assert.Assert(t, group.probes > 0 && float64(group.probes) <= most, "%d probes, %v allowed", group.probes, most)
 }
+
+// TestOneLostPathAndOneLostProbeBuryNone: a judge whose probe failed is no daemon with callers.
+func TestOneLostPathAndOneLostProbeBuryNone(t *testing.T) {
+	const reporter, other = 4, 3
+	group := newGroup(5)
+	for _, judge := range []int{0, 1, 2} { // their budgets are spent
+		group.detectors[judge].config.EarlyProbes, group.detectors[judge].early.left = 0, 0
+	}
+	probes := 0
+	group.reaches = func(daemon int) bool {
+		if daemon == other {
+			probes++
+			return probes > 1 // one packet is lost
+		}
+		return daemon != reporter
+	}
+	for flow := range uint64(3) {
+		group.repeat(reporter, flow)
+	}
+	group.advance(time.Second)
+	assert.Equal(t, len(group.verdicts), 0)
+}
+
+func TestAProbeFromBeforeASignOfLifeSaysNothing(t *testing.T) {
+	now := testStart
+	directory := &fakeDirectory{rate: fastRate, now: &now}
+	d := New(DefaultConfig())
+	told := func(age uint32) []Received {
+		report := Report{Subject: Subject{Target: target}, Kind: Silent, Flows: 1, Sends: 1, AgeMilliseconds: age}
+		return []Received{{Report: report, From: addressOf(1)}}
+	}
+	d.Probed(now, d.Hear(now, directory, told(200)).Probes[0], true) // an earlier doubt, answered
+	now = now.Add(time.Second)
+	first := d.Hear(now, directory, told(200))
+	assert.Equal(t, len(first.Probes), 1)
+	now = now.Add(20 * time.Millisecond)
+	directory.life = now
+	d.Tick(now, directory)
+	now = now.Add(30 * time.Millisecond)
+	d.Probed(now, first.Probes[0], false)
+	now = now.Add(200 * time.Millisecond)
+	for _, report := range d.Hear(now, directory, told(180)).Reports {
+		assert.Assert(t, report.Kind != Asked)
+	}
+}
--- a/internal/liveness/judge.go
+++ b/internal/liveness/judge.go
@@ -126,9 +126,17 @@
 	return suspected.isEnoughEarly() || d.hasCallersOfSeveral(suspected)
 }
 
+// hasCallersOfSeveral reports whether callers of several daemons show the silence. A judge
+// whose probe failed has no callers, and does not count as one.
 func (d *Detector) hasCallersOfSeveral(suspected *suspect) bool {
 	flows, sends, _ := suspected.weigh()
-	return len(suspected.evidence) >= d.config.Reporters && flows >= d.config.Flows && sends >= d.config.Sends
+	callers := 0
+	for _, held := range suspected.evidence {
+		if held.flows > 0 {
+			callers++
+		}
+	}
+	return callers >= d.config.Reporters && flows >= d.config.Flows && sends >= d.config.Sends
 }
 
 // silenceNeeded is how long a target must be silent, given how many signs of life are
