--- a/internal/followed/budget.go
+++ b/internal/followed/budget.go
@@ -6,8 +6,8 @@
 	// answersShare is how much of its link a daemon gives to whole contents for daemons
 	// that start, on average: 150 KB/s of 200 Mbit/s, 7.5 KB/s of 10 Mbit/s.
 	answersShare = 0.006
-	// mostRedirects is how often an asker is sent on before it is answered all the same.
-	mostRedirects = 3
+	// MostRedirects is how often an asker is sent on before it is answered all the same.
+	MostRedirects = 3
 )
 
 // answerBudget bounds the bytes of whole contents that a daemon gives out (a token bucket).
--- a/internal/followed/serve.go
+++ b/internal/followed/serve.go
@@ -29,7 +29,7 @@
 	if since < view.Forgotten() {
 		since = 0
 	}
-	if since == 0 && pull.Redirects < mostRedirects && f.budget.isSpent(now) {
+	if since == 0 && pull.Redirects < MostRedirects && f.budget.isSpent(now) {
 		if delta := f.redirect(now, pull); delta.Ahead.IsValid() {
 			return delta
 		}
