Open flows: time by the steady clock, by address, and ended with their route

Causes: (1) the control loop counts flows with the time of its tick's beginning; a packet that came meanwhile was later, which as an unsigned difference is 49 days, and the flow in use was forgotten, each 250 ms. The time of day was used, so that a step back forgot all. (2) A flow that was reset because its route was dropped stayed known with its age, so that a younger one from the same port was taken for it and reset before the store had confirmed anything of its time. (3) Flows were keyed by the route's number: one opened anew after the route came back did not replace the old one. Tests: TestAFlowUsedSinceATickBeganIsKept, TestAResetAtADroppedRouteIsOfNoFlowThatWasOpenedSince, TestAFlowOpenedAnewWhereARouteCameBackReplacesTheOldOne fail on the code before; TestMomentsWrap asks the same of the new clock; others pass a route's number.

--- a/internal/node/followed_unrouted.go
+++ b/internal/node/followed_unrouted.go
@@ -15,11 +15,13 @@
 	}
 	p.mutex.Lock()
 	dropped := p.unrouted.TakeDropped(now, confirmedAt, table)
+	for index := range dropped {
+		p.requests.NoteDropped(table, &dropped[index])
+	}
 	p.mutex.Unlock()
 	decision := token.Decision{Action: token.Refuse, Reason: token.ReasonDroppedRoute}
 	for index := range dropped {
 		p.explainer.explain(table, &dropped[index], &decision, p.confirmedUntil.Load())
-		p.sendReset(p.releaser, &dropped[index], decision.Reason, p.codec.Reset(&dropped[index]))
 	}
-	p.releaser.Flush()
+	p.resetAll(dropped, decision.Reason)
 }
--- a/internal/steering/token/openflows.go
+++ b/internal/steering/token/openflows.go
@@ -32,19 +32,29 @@
 	caller, destination [16]byte
 	callerPort, port    uint16
 	target              uint32 // its token, 0 in a place that is free
+	route               uint32 // the number of the route that it was seen under last
 	acknowledgement     uint32
 	// firstData and lastData are of packets with data, last is of any.
 	firstData, lastData, last moment
 }
 
-// moment is a time in milliseconds, modulo 49 days; 0 is none.
+// moment is a time in milliseconds since the first one that was noted, modulo 49 days; 0 is
+// none. It counts by the steady clock: the time of day may jump.
 type moment uint32
 
-func momentOf(at time.Time) moment { return max(1, moment(at.UnixMilli())) }
+// momentOf returns the moment of a time.
+func (o *openFlows) momentOf(at time.Time) moment {
+	if o.began.IsZero() {
+		o.began = at.Add(-time.Millisecond)
+	}
+	return max(1, moment(at.Sub(o.began).Milliseconds()))
+}
 
-// since returns how much later a moment is than another.
+// since returns how much later a moment is than another, below 0 if it is earlier: the control
+// loop's time is that of a tick's beginning, and packets come meanwhile. Unsigned, a
+// millisecond back would be 49 days on, and the flow would be forgotten.
 func (m moment) since(earlier moment) time.Duration {
-	return time.Duration(m-earlier) * time.Millisecond
+	return time.Duration(int32(m-earlier)) * time.Millisecond
 }
 
 // openFlows keeps the flows that are open at targets, as far as their packets come past
@@ -56,23 +66,25 @@
 	free   []uint32
 	// idle is for how long a flow that rests is kept.
 	idle time.Duration
+	// began is when moments count from.
+	began time.Time
 }
 
 func newOpenFlows() *openFlows { return &openFlows{places: map[uint64]uint32{}, idle: defaultIdle} }
 
-// note takes in a packet that is forwarded on an open flow.
-func (o *openFlows) note(now time.Time, hash uint64, target *Target, packet *Packet) {
+// note takes in a packet that is forwarded on an open flow, under a route given by its number.
+func (o *openFlows) note(now time.Time, hash uint64, route uint32, target *Target, packet *Packet) {
 	if packet.IsClosing || packet.IsReset {
 		o.remove(hash)
 		return
 	}
-	at := momentOf(now)
+	at := o.momentOf(now)
 	flow := o.find(hash)
 	if flow == nil {
 		return
 	}
-	if flow.hash != hash || flow.target != target.Token {
-		*flow = newOpenFlow(hash, target.Token, packet)
+	if flow.hash != hash || flow.target != target.Token || flow.route != route {
+		*flow = newOpenFlow(hash, route, target.Token, packet)
 	}
 	flow.acknowledgement, flow.last = packet.Acknowledgement, at
 	if packet.PayloadLength == 0 {
@@ -84,9 +96,9 @@
 	}
 }
 
-func newOpenFlow(hash uint64, target uint32, packet *Packet) openFlow {
+func newOpenFlow(hash uint64, route, target uint32, packet *Packet) openFlow {
 	return openFlow{
-		hash: hash, target: target,
+		hash: hash, target: target, route: route,
 		caller: packet.Source.Addr().As16(), callerPort: packet.Source.Port(),
 		destination: packet.Destination.Addr().As16(), port: packet.Destination.Port(),
 	}
@@ -112,13 +124,18 @@
 	return &o.flows[place]
 }
 
-// dataSince returns since when data of a flow to a target has come here, now if none has.
-func (o *openFlows) dataSince(now time.Time, hash uint64, target uint32) time.Time {
+// dataSince returns since when data of a flow to a target has come here under a route, now if none has. After a
+// silence that is longer than any between two sends it may be another flow from the same port.
+func (o *openFlows) dataSince(now time.Time, hash uint64, route, target uint32) time.Time {
 	place, isKnown := o.places[hash]
-	if !isKnown || o.flows[place].target != target || o.flows[place].firstData == 0 {
+	if !isKnown {
+		return now
+	}
+	at, flow := o.momentOf(now), &o.flows[place]
+	if flow.route != route || flow.target != target || flow.firstData == 0 || at.since(flow.last) >= unroutedSilence {
 		return now
 	}
-	return now.Add(-momentOf(now).since(o.flows[place].firstData))
+	return now.Add(-at.since(flow.firstData))
 }
 
 // remove keeps a flow no longer.
@@ -135,7 +152,7 @@
 // count returns the number of open flows by target and forgets those that rested for too
 // long.
 func (o *openFlows) count(now time.Time) map[uint32]int {
-	counts, at := map[uint32]int{}, momentOf(now)
+	counts, at := map[uint32]int{}, o.momentOf(now)
 	for index := range o.flows {
 		flow := &o.flows[index]
 		switch {
--- a/internal/steering/token/openflows_test.go
+++ b/internal/steering/token/openflows_test.go
@@ -16,17 +16,17 @@
 	target, other := &Target{Token: 7}, &Target{Token: 8}
 	data, end := &Packet{PayloadLength: 1}, &Packet{IsClosing: true}
 	flows := newOpenFlows()
-	flows.note(begun, 1, target, data)
+	flows.note(begun, 1, 1, target, data)
 	assert.Equal(t, len(flows.count(begun)), 0, "it may be for one request")
 	later := begun.Add(longFlowAfter)
-	flows.note(later, 1, target, data)
-	flows.note(later, 2, other, &Packet{}) // an acknowledgement says nothing of its age
+	flows.note(later, 1, 1, target, data)
+	flows.note(later, 2, 1, other, &Packet{}) // an acknowledgement says nothing of its age
 	assert.DeepEqual(t, flows.count(later), map[uint32]int{7: 1})
 	t.Run("until it ends", func(t *testing.T) {
-		flows.note(later, 3, other, data)
-		flows.note(later.Add(longFlowAfter), 3, other, data)
+		flows.note(later, 3, 1, other, data)
+		flows.note(later.Add(longFlowAfter), 3, 1, other, data)
 		assert.Equal(t, flows.count(later.Add(longFlowAfter))[8], 1)
-		flows.note(later, 3, other, end)
+		flows.note(later, 3, 1, other, end)
 		assert.Equal(t, flows.count(later.Add(longFlowAfter))[8], 0)
 	})
 	t.Run("or is silent", func(t *testing.T) {
@@ -40,13 +40,13 @@
 	})
 	t.Run("and only so many", func(t *testing.T) {
 		for flow := range uint64(2 * mostOpenFlows) {
-			flows.note(begun, flow, target, data)
+			flows.note(begun, flow, 1, target, data)
 		}
 		held := flows.held()
 		assert.Equal(t, held.Count, mostOpenFlows)
 		assert.Assert(t, held.Bytes < 8<<20, "%d bytes", held.Bytes)
 		flows.count(begun.Add(defaultIdle))
-		flows.note(begun.Add(defaultIdle), 1, target, data)
+		flows.note(begun.Add(defaultIdle), 1, 1, target, data)
 		assert.Equal(t, flows.held().Count, 1, "places are used again")
 		assert.Equal(t, len(flows.flows), mostOpenFlows)
 	})
@@ -94,8 +94,10 @@
 
 // TestMomentsWrap: a daemon runs for longer than they count.
 func TestMomentsWrap(t *testing.T) {
+	flows, began := newOpenFlows(), time.UnixMilli(0)
+	flows.momentOf(began)
 	before := time.UnixMilli(1<<32 - 500)
-	assert.Equal(t, momentOf(before.Add(time.Second)).since(momentOf(before)), time.Second)
+	assert.Equal(t, flows.momentOf(before.Add(time.Second)).since(flows.momentOf(before)), time.Second)
 }
 
 // BenchmarkKeepingOpenFlows is a packet's cost, and the bytes of a flow.
@@ -104,7 +106,7 @@
 	flows, target := newOpenFlows(), &Target{Token: 7}
 	packet := &Packet{Source: caller(1), Destination: rosterAddress, PayloadLength: 1}
 	for i := range b.N {
-		flows.note(testStart, ownership.KeyOfCaller(1, caller(i%kept)).Hash, target, packet)
+		flows.note(testStart, ownership.KeyOfCaller(1, caller(i%kept)).Hash, 1, target, packet)
 	}
 	held := flows.held()
 	b.ReportMetric(float64(held.Bytes)/float64(held.Count), "B/flow")
@@ -114,9 +116,20 @@
 func BenchmarkTakingResting(b *testing.B) {
 	flows := newOpenFlows()
 	for flow := range uint64(36_000) {
-		flows.note(testStart, flow, &Target{Token: 7}, &Packet{Source: caller(1), Destination: rosterAddress, PayloadLength: 1})
+		flows.note(testStart, flow, 1, &Target{Token: 7}, &Packet{Source: caller(1), Destination: rosterAddress, PayloadLength: 1})
 	}
 	for b.Loop() {
 		flows.take(isDeadAt(8), 10)
 	}
 }
+
+// TestAFlowUsedSinceATickBeganIsKept: packets come while the control loop is at work.
+func TestAFlowUsedSinceATickBeganIsKept(t *testing.T) {
+	begun, target, flows := time.Unix(1_800_000_000, 0), &Target{Token: 7}, newOpenFlows()
+	flows.note(begun, 1, 1, target, &Packet{PayloadLength: 1})
+	later := begun.Add(time.Second)
+	flows.note(later, 1, 1, target, &Packet{PayloadLength: 1})
+	assert.DeepEqual(t, flows.count(later.Add(-time.Millisecond)), map[uint32]int{7: 1})
+	assert.Equal(t, flows.held().Count, 1)
+	assert.Assert(t, !flows.dataSince(begun.Add(-time.Millisecond), 1, 1, 7).Before(begun.Add(-time.Second)))
+}
--- a/internal/steering/token/unacknowledged.go
+++ b/internal/steering/token/unacknowledged.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/passtray/passtray/internal/ownership"
 )
 
 // Unacknowledged is data that a caller sent again on an open flow: its target did not
@@ -63,8 +61,9 @@
 	for _, key := range keys {
 		held := r.waiting[key]
 		r.end(key)
-		r.open.remove(ownership.KeyOfCaller(key.route, key.caller).Hash)
-		packets = append(packets, Packet{Source: key.caller, Destination: held.destination, Token: held.token, Acknowledgement: held.acknowledgement})
+		head := Packet{Source: key.caller, Destination: held.destination, Token: held.token, Acknowledgement: held.acknowledgement}
+		r.open.remove(hashOf(&head))
+		packets = append(packets, head)
 	}
 	return packets
 }
--- a/internal/steering/token/unrouted.go
+++ b/internal/steering/token/unrouted.go
@@ -30,7 +30,7 @@
 	if decision.Route == nil {
 		return now
 	}
-	return r.open.dataSince(now, hashOf(decision, packet), decision.Target.Token)
+	return r.open.dataSince(now, hashOf(packet), decision.Route.Number, decision.Target.Token)
 }
 
 // Unrouted are flows whose words name targets that are known, at addresses to which no
--- a/internal/steering/token/unrouted_test.go
+++ b/internal/steering/token/unrouted_test.go
@@ -1,12 +1,15 @@
 package token
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/passtray/passtray/internal/balance"
 	"github.com/passtray/passtray/internal/followed"
+	"github.com/passtray/passtray/internal/overload"
 )
 
 // strayed is a site that does not know the route of a flow whose packet just came.
@@ -92,3 +95,42 @@
 	assert.Assert(t, decision.Route != nil)
 	assert.Equal(t, site.requests.OpenSince(site.now, &decision, data), site.now)
 }
+
+// TestAResetAtADroppedRouteIsOfNoFlowThatWasOpenedSince: the flow that was reset has ended, and
+// what comes from its port is another one, which opened after the route was back.
+func TestAResetAtADroppedRouteIsOfNoFlowThatWasOpenedSince(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	requests, unrouted := NewRequests(16), NewUnrouted()
+	target := &Target{Identifier: 1, Token: 11, Signal: &balance.Signal{}, Load: overload.New(overload.Config{})}
+	routed := Decision{Action: Forward, Route: &Route{Number: 1}, Target: target}
+	old := Packet{Source: caller(1), Destination: rosterAddress, PayloadLength: 1, Acknowledgement: 5}
+	requests.Note(now, &routed, &old)
+	table := &Table{dropped: map[netip.AddrPort]*Route{rosterAddress: routed.Route}}
+	dropped := Decision{Reason: ReasonUnconfirmedRoute, Route: routed.Route, Target: target}
+	now = now.Add(time.Second)
+	unrouted.Note(now, requests.OpenSince(now, &dropped, &old), &old)
+	reset := unrouted.TakeDropped(now, now, table)
+	assert.Equal(t, len(reset), 1, "the old flow is reset")
+	requests.NoteDropped(table, &reset[0])
+	assert.Equal(t, requests.Len(), 0, "nobody waits any more")
+	confirmedAt := now
+	now = now.Add(time.Second) // opened anew elsewhere meanwhile
+	young := Packet{Source: caller(1), Destination: rosterAddress, PayloadLength: 1, Acknowledgement: 77_000_000}
+	unrouted.Note(now, requests.OpenSince(now, &dropped, &young), &young)
+	assert.Equal(t, len(unrouted.TakeDropped(now, confirmedAt, table)), 0, "the young flow lives")
+}
+
+// TestAFlowOpenedAnewWhereARouteCameBackReplacesTheOldOne, whose target's death is none of its.
+func TestAFlowOpenedAnewWhereARouteCameBackReplacesTheOldOne(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	requests, load := NewRequests(16), overload.New(overload.Config{})
+	one := &Target{Identifier: 1, Token: 11, Signal: &balance.Signal{}, Load: load}
+	two := &Target{Identifier: 2, Token: 22, Signal: &balance.Signal{}, Load: load}
+	before := Decision{Action: Forward, Route: &Route{Number: 1}, Target: one}
+	after := Decision{Action: Forward, Route: &Route{Number: 2}, Target: two}
+	requests.Note(now, &before, &Packet{Source: caller(1), Destination: rosterAddress, Token: 11, Acknowledgement: 5})
+	now = now.Add(time.Second)
+	requests.NoteOpening(now, &after, &Packet{Source: caller(1), Destination: rosterAddress, IsOpening: true})
+	requests.Note(now, &after, &Packet{Source: caller(1), Destination: rosterAddress, Token: 22, Acknowledgement: 9})
+	assert.Equal(t, len(requests.TakeResting(isDeadAt(11), 10)), 0)
+}
