Requests: data that waits begins nothing, its acknowledgement stays late

Cause: the data path set the payload length of a held data packet to 0, so that only its acknowledgement was noted. What judges whether an acknowledgement came at once goes by the payload too: one that came with the caller's next request, after its pause, counted as prompt. The target was then said to live now, though it may have died in the pause, and to be as slow as the pause. Conclusion: a held packet says of its target what a forwarded one does.

--- a/internal/steering/token/overload_test.go
+++ b/internal/steering/token/overload_test.go
@@ -110,3 +110,41 @@
 	assert.DeepEqual(t, site.table.Credible(site.now, evidence()), evidence()[1:])
 	assert.DeepEqual(t, site.table.Credible(site.now.Add(time.Minute), evidence()), evidence())
 }
+
+// fill takes all the room that a decision's service has.
+func (s *site) fill(decision *Decision) {
+	for decision.Target.Load.Admit(s.now, overload.Ordinary) {
+		decision.Target.Load.Begin(overload.Ordinary)
+	}
+}
+
+// TestALateAcknowledgementWithAHeldRequestIsNotPrompt: an answer is often acknowledged only with
+// the caller's next request, and its target may have died in the pause between.
+func TestALateAcknowledgementWithAHeldRequestIsNotPrompt(t *testing.T) {
+	site, requests := overloadedSite(t), NewRequests(16)
+	opened := site.open(ordinaryAddress, 1)
+	data := &Packet{Source: caller(1), Destination: ordinaryAddress, Token: opened.Word(), PayloadLength: 10}
+	decision := site.table.Follow(site.now, data)
+	const answerLength = 1000
+	for range 20 { // what is usual becomes known
+		requests.Note(site.now, &decision, data)
+		site.now = site.now.Add(10 * time.Millisecond)
+		data.Acknowledgement += answerLength
+		requests.Note(site.now, &decision, &Packet{Source: caller(1), Destination: ordinaryAddress, Acknowledgement: data.Acknowledgement})
+		site.now = site.now.Add(10 * time.Millisecond)
+	}
+	requests.TakeAnswered()
+	requests.Note(site.now, &decision, data)
+	sentAt := site.now
+	site.now = site.now.Add(500 * time.Millisecond)
+	next := *data
+	next.Acknowledgement, next.Sequence = data.Acknowledgement+answerLength, 10
+	site.fill(&decision)
+	held := requests.Restrain(site.now, decision, &next, 0)
+	assert.Equal(t, held.Action, Hold)
+	_, isAnswer := requests.Note(site.now, &held, &next)
+	assert.Assert(t, isAnswer)
+	assert.Assert(t, decision.Target.Signal.LastLife().Equal(sentAt))
+	assert.Equal(t, len(requests.TakeAnswered()), 0)
+	assert.Equal(t, requests.Len(), 0, "the request begins when it goes on")
+}
