Overload: data of open flows goes on where the queue is full

Cause: data for which there was no place to wait was dropped, as opening packets are refused. Its caller knows nothing of that and waits until it sends again. Change: it goes on as if it had waited, after what waits of its flow. Only opening packets are refused. Figures: TestDataOfOpenFlowsGoesOnWhereTheQueueIsFull, a queue of one: before, the second flow's data was dropped; after, it is sent, and a second packet of the first flow goes on behind the first. Conclusion: a full queue costs the bound, not the callers of open flows.

--- a/internal/node/followed_crowded_test.go
+++ b/internal/node/followed_crowded_test.go
@@ -150,3 +150,13 @@
 		assert.DeepEqual(t, plane.sentOn(), []string{"11", "12", "13"})
 	})
 }
+
+func TestDataOfOpenFlowsGoesOnWhereTheQueueIsFull(t *testing.T) {
+	plane := newCrowdedPlane(t, 1)
+	plane.comes(1, wordOthers, "1")
+	plane.comes(2, wordOthers, "1")
+	assert.DeepEqual(t, plane.sentOn(), []string{"21"})
+	plane.comes(1, wordOthers, "2")
+	assert.DeepEqual(t, plane.sentOn(), []string{"11", "12"})
+	assert.Equal(t, plane.counters.dropped[token.ReasonOverload].Load(), uint64(0))
+}
--- a/internal/node/followed_overload.go
+++ b/internal/node/followed_overload.go
@@ -71,7 +71,8 @@
 }
 
 // holdCrowded keeps a packet until its service has room. A new flow for which room is not
-// expected in time is refused at once: its caller can use the time.
+// expected in time is refused at once: its caller can use the time. Data of an open flow for
+// which there is no place goes on as if it had waited.
 func (p *tokenPlane) holdCrowded(worker *forwarding.Worker, inbound *forwarding.Inbound, packet *token.Packet, decision *token.Decision, came arrival) {
 	now, load, rank := time.Now(), decision.Load(), decision.Route.Rank()
 	p.mutex.Lock()
@@ -94,10 +95,21 @@
 	case packet.IsOpening:
 		p.refuse(worker, inbound.Datagram(), packet, decision)
 	default:
-		p.counters.dropped[token.ReasonOverload].Add(1)
+		p.passCrowd(worker, inbound, packet, came)
 	}
 }
 
+// passCrowd lets a packet of an open flow go on, after those of the flow that wait.
+func (p *tokenPlane) passCrowd(worker *forwarding.Worker, inbound *forwarding.Inbound, packet *token.Packet, came arrival) {
+	p.mutex.Lock()
+	earlier, found := p.crowded.TakeFlow(flowOf(packet))
+	p.mutex.Unlock()
+	if found {
+		p.letGo(worker, &earlier)
+	}
+	p.handle(worker, inbound, arrival{at: came.at, isReleased: true})
+}
+
 // letGo decides once more for a packet that waited, and for those behind it.
 func (p *tokenPlane) letGo(worker *forwarding.Worker, taken *overload.Waiting[crowdedPacket]) {
 	came := arrival{at: taken.At, isReleased: true}
