Overload: resets and ends of flows of which something waits

Cause: a caller's reset went past the data that waited of its flow, which followed later: a request was begun that nobody waits for, and its target counted as silent. The end of a flow overtook its data. Change: a reset takes out what waits of its flow; the end goes behind it. Figures: in the two tests, before: the data was sent after the reset, and the end before the data; after: the reset alone, and the data before the end. Conclusion: what a caller does last is done last.

--- a/internal/node/followed_crowded_test.go
+++ b/internal/node/followed_crowded_test.go
@@ -160,3 +160,24 @@
 	assert.DeepEqual(t, plane.sentOn(), []string{"11", "12"})
 	assert.Equal(t, plane.counters.dropped[token.ReasonOverload].Load(), uint64(0))
 }
+
+func TestWhatWaitsOfAResetFlowIsForgotten(t *testing.T) {
+	plane := newCrowdedPlane(t, 8)
+	plane.comes(1, wordOthers, "1")
+	plane.comes(1, wordReset, "")
+	assert.DeepEqual(t, plane.sentOn(), []string{"1reset"})
+	plane.allHaveWaited()
+	assert.DeepEqual(t, plane.sentOn(), []string{})
+	assert.Equal(t, plane.requests.Len(), 0)
+}
+
+func TestTheEndOfAFlowGoesBehindWhatWaits(t *testing.T) {
+	plane := newCrowdedPlane(t, 8)
+	plane.comes(1, wordOthers, "1")
+	plane.comes(1, wordClosing, "")
+	assert.DeepEqual(t, plane.sentOn(), []string{})
+	plane.allHaveWaited()
+	assert.DeepEqual(t, plane.sentOn(), []string{"11", "1end"})
+	plane.comes(2, wordClosing, "")
+	assert.DeepEqual(t, plane.sentOn(), []string{"2end"})
+}
--- a/internal/node/followed_overload.go
+++ b/internal/node/followed_overload.go
@@ -63,13 +63,24 @@
 // earlier ones of the flow wait: a target that gets them in another order takes them for lost.
 // The mutex is held.
 func (p *tokenPlane) waitBehind(decision token.Decision, packet *token.Packet, came arrival) token.Decision {
-	hasContent := packet.PayloadLength > 0
+	hasContent := packet.PayloadLength > 0 || packet.IsClosing
 	if decision.Action == token.Forward && hasContent && !came.isReleased && p.crowded.Of(flowOf(packet)) != nil {
 		decision.Action, decision.Reason = token.Hold, token.ReasonOverload
 	}
 	return decision
 }
 
+// forgetReset takes out what waits of a flow that its caller resets: it is of use to nobody,
+// and a target has nothing to answer. The mutex is held.
+func (p *tokenPlane) forgetReset(packet *token.Packet) {
+	flow := flowOf(packet)
+	for _, flow.IsOpening = range []bool{false, true} {
+		if taken, found := p.crowded.TakeFlow(flow); found {
+			p.counters.dropped[token.ReasonOverload].Add(uint64(1 + len(taken.Behind)))
+		}
+	}
+}
+
 // holdCrowded keeps a packet until its service has room. A new flow for which room is not
 // expected in time is refused at once: its caller can use the time. Data of an open flow for
 // which there is no place goes on as if it had waited.
