Overload: who waits goes before who comes

Cause: a packet that came was decided on before those that waited, and took the room that they waited for. One that was taken out and had to wait once more was counted again. Change: while something waits, it is let go before and after each packet that comes. Conclusion: the earliest goes first, as the design says. The one ordinary flow a second that goes on in any case is still whichever asks first.

--- a/internal/node/followed_crowded_test.go
+++ b/internal/node/followed_crowded_test.go
@@ -181,3 +181,25 @@
 	plane.comes(2, wordClosing, "")
 	assert.DeepEqual(t, plane.sentOn(), []string{"2end"})
 }
+
+func TestWhoWaitsGoesBeforeWhoComes(t *testing.T) {
+	plane := newCrowdedPlane(t, 8)
+	plane.handle(plane.releaser, packetOf(1, wordOpen, ""), arrival{at: time.Now().Add(time.Hour)})
+	assert.DeepEqual(t, plane.sentOn(), []string{})
+	plane.makeRoom()
+	plane.comes(2, wordOpen, "")
+	assert.DeepEqual(t, plane.sentOn(), []string{"1open"})
+	assert.Equal(t, plane.crowded.Len(), 1)
+	assert.Equal(t, plane.counters.crowded.Load(), uint64(2))
+}
+
+func TestWhatMustWaitOnceMoreIsCountedOnce(t *testing.T) {
+	plane := newCrowdedPlane(t, 8)
+	plane.handle(plane.releaser, packetOf(1, wordOpen, ""), arrival{at: time.Now().Add(time.Hour)})
+	taken, found := plane.crowded.TakeFlow(overload.Flow{Source: crowdedCaller(1), Destination: followedRoute, IsOpening: true})
+	assert.Assert(t, found)
+	plane.letGo(plane.releaser, &taken)
+	assert.Equal(t, plane.crowded.Len(), 1)
+	assert.DeepEqual(t, plane.sentOn(), []string{})
+	assert.Equal(t, plane.counters.crowded.Load(), uint64(1))
+}
--- a/internal/node/followed_overload.go
+++ b/internal/node/followed_overload.go
@@ -102,7 +102,9 @@
 	case isCopy:
 		p.counters.dropped[token.ReasonCopy].Add(1)
 	case isHeld:
-		p.counters.crowded.Add(1)
+		if !came.isReleased {
+			p.counters.crowded.Add(1)
+		}
 	case packet.IsOpening:
 		p.refuse(worker, inbound.Datagram(), packet, decision)
 	default:
@@ -144,10 +146,12 @@
 	}
 }
 
-// handleCrowded decides on one datagram while others wait, which have what room it makes.
+// handleCrowded decides on one datagram while others wait. They go before it where there is
+// room, and have what room it makes.
 func (p *tokenPlane) handleCrowded(worker *forwarding.Worker, inbound *forwarding.Inbound, now time.Time) {
 	p.releasing.Lock()
 	defer p.releasing.Unlock()
+	p.releaseCrowded(worker, now)
 	p.handle(worker, inbound, arrival{at: now})
 	p.releaseCrowded(worker, now)
 }
