Overload: the share counts all targets that get flows

Cause: the slots among which the daemons' equal part is counted were those of targets in the store that are not passed over. Targets whose entries may have lapsed go on getting flows and did not count; with all passed over, which balancing takes as none, nothing counted and there was no bound. Change: the opener sets the shares, by the list that it chooses from; if all that live are passed over, all that live count. Targets that went outside a lapse do not count. Conclusion: the bound follows the targets that work comes to.

--- a/internal/node/followed_overload.go
+++ b/internal/node/followed_overload.go
@@ -161,7 +161,7 @@
 func (p *tokenPlane) tickCrowded(now time.Time, daemons int) {
 	p.mutex.Lock()
 	if table := p.table.Load(); table != nil {
-		table.SetShares(now, daemons)
+		p.opener.SetShares(now, table, daemons)
 	}
 	p.mutex.Unlock()
 	if !p.isCrowded.Load() {
--- a/internal/steering/token/overload.go
+++ b/internal/steering/token/overload.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/passtray/passtray/internal/balance"
 	"github.com/passtray/passtray/internal/outlier"
 	"github.com/passtray/passtray/internal/overload"
 )
@@ -49,23 +50,33 @@
 	return decision
 }
 
-// SetShares says among how many daemons the work of services is shared, 0 if that is not
-// known.
-func (t *Table) SetShares(now time.Time, daemons int) {
-	for _, service := range t.services {
-		service.Load.SetShare(service.liveSlots(now), daemons)
+// SetShares says among how many daemons the work of a table's services is shared, 0 if that is
+// not known.
+func (o *Opener) SetShares(now time.Time, table *Table, daemons int) {
+	for _, service := range table.services {
+		_, candidates := o.withLapsed(now, service)
+		service.Load.SetShare(liveSlots(now, candidates), daemons)
 	}
 }
 
-// liveSlots counts the slots of targets that may take work.
-func (s *Service) liveSlots(now time.Time) int {
-	slots := 0
-	for index := range s.Candidates {
-		if signal := s.Candidates[index].Signal; !signal.IsDead(now) && !signal.IsEjected(now) {
-			slots += int(s.Candidates[index].Slots)
+// liveSlots counts the slots of the targets that take work: those that are not dead and not
+// passed over or, if all are, those that are not dead, as they get the flows then.
+func liveSlots(now time.Time, candidates []balance.Candidate) int {
+	live, passedOver := 0, 0
+	for index := range candidates {
+		candidate := &candidates[index]
+		switch {
+		case candidate.Signal.IsDead(now):
+		case candidate.Signal.IsEjected(now):
+			passedOver += int(candidate.Slots)
+		default:
+			live += int(candidate.Slots)
 		}
 	}
-	return slots
+	if live == 0 {
+		return passedOver
+	}
+	return live
 }
 
 // Loads calls visit with the work of each service.
--- a/internal/steering/token/overload_test.go
+++ b/internal/steering/token/overload_test.go
@@ -26,7 +26,7 @@
 		followed.Route{Address: preferredAddress, Backends: backends, Priority: 1, Objective: 600 * time.Millisecond},
 		followed.Route{Address: ordinaryAddress, Backends: backends, Priority: 2, Objective: 600 * time.Millisecond},
 	)
-	site.table.SetShares(site.now, 100)
+	site.opener.SetShares(site.now, site.table, 100)
 	load, number := site.table.services["roster"].Load, site.table.routes[ordinaryAddress].Number
 	for range 100 {
 		load.NoteAnswer(site.now, number, 1000)
@@ -148,3 +148,41 @@
 	assert.Equal(t, len(requests.TakeAnswered()), 0)
 	assert.Equal(t, requests.Len(), 0, "the request begins when it goes on")
 }
+
+// TestTheShareCountsTheTargetsThatGetFlows: what is not counted lowers the bound, although the
+// targets are there to work.
+func TestTheShareCountsTheTargetsThatGetFlows(t *testing.T) {
+	bound := func(t *testing.T, site *site) float64 {
+		t.Helper()
+		site.opener.SetShares(site.now, site.table, 1)
+		bound, isBound := site.table.services["roster"].Load.Bound(site.now)
+		assert.Assert(t, isBound)
+		return bound
+	}
+	const all = 24 // six targets of two slots, two requests for each
+	t.Run("those whose entries lapsed", func(t *testing.T) {
+		site := overloadedSite(t)
+		for _, key := range []string{"roster-0", "roster-1", "roster-2"} {
+			site.remove(key)
+		}
+		site.lapsing()
+		assert.Equal(t, bound(t, site), float64(all))
+	})
+	t.Run("not those that went", func(t *testing.T) {
+		site := overloadedSite(t)
+		for _, key := range []string{"roster-0", "roster-1", "roster-2"} {
+			site.remove(key)
+		}
+		assert.Equal(t, bound(t, site), float64(all/2))
+	})
+	t.Run("all that live, if all are passed over", func(t *testing.T) {
+		site := overloadedSite(t)
+		for index, target := range site.table.services["roster"].Targets {
+			target.Signal.Eject(site.now.Add(time.Second), site.now.Add(time.Second))
+			if index == 0 {
+				target.Signal.SetDead(site.now.Add(time.Second), site.now.Add(time.Second))
+			}
+		}
+		assert.Equal(t, bound(t, site), float64(all*5/6))
+	})
+}
