Overload: a flow that waited goes to the service it waited for

Cause: the service was drawn by the route's weights anew when a flow was let go. One that had waited for a service with room now could be given to another without, and each draw counted against the weights. Change: the service chosen first is kept with the packet and given to the pick; if it gets no flows any more, one is drawn. Conclusion: a flow is drawn for once.

--- a/internal/node/followed_overload.go
+++ b/internal/node/followed_overload.go
@@ -24,6 +24,8 @@
 type crowdedPacket struct {
 	head   token.Packet
 	buffer []byte
+	// service is which one was chosen for it, if it opens a flow.
+	service string
 }
 
 // arrival is when a packet came.
@@ -31,6 +33,8 @@
 	at time.Time
 	// isReleased says that it waited for its service to have room, and may go on.
 	isReleased bool
+	// service is which one it waited for, if it opens a flow.
+	service string
 }
 
 // waited returns for how long the packet has waited for its service to have room. One of an
@@ -94,7 +98,7 @@
 		p.crowded.Put(now, overload.Waiting[crowdedPacket]{
 			Load: load, Rank: rank, Flow: flowOf(packet), IsOpening: packet.IsOpening,
 			At: came.at, Until: came.at.Add(decision.Route.Hold(packet)),
-			Packet: crowdedPacket{head: *packet, buffer: append([]byte(nil), inbound.Buffer...)},
+			Packet: crowdedPacket{head: *packet, buffer: append([]byte(nil), inbound.Buffer...), service: decision.Service},
 		})
 	}
 	p.mutex.Unlock()
@@ -125,7 +129,7 @@
 
 // letGo decides once more for a packet that waited, and for those behind it.
 func (p *tokenPlane) letGo(worker *forwarding.Worker, taken *overload.Waiting[crowdedPacket]) {
-	came := arrival{at: taken.At, isReleased: true}
+	came := arrival{at: taken.At, isReleased: true, service: taken.Packet.service}
 	p.handle(worker, &forwarding.Inbound{Buffer: taken.Packet.buffer}, came)
 	for _, behind := range taken.Behind {
 		p.handle(worker, &forwarding.Inbound{Buffer: behind.buffer}, came)
--- a/internal/steering/token/opener.go
+++ b/internal/steering/token/opener.go
@@ -8,7 +8,6 @@
 	"github.com/passtray/passtray/internal/balance"
 	"github.com/passtray/passtray/internal/followed"
 	"github.com/passtray/passtray/internal/outlier"
-	"github.com/passtray/passtray/internal/overload"
 	"github.com/passtray/passtray/internal/ownership"
 )
 
@@ -39,8 +38,8 @@
 	// says that the last pick found only targets with enough to do.
 	daemons int
 	atLimit bool
-	// overloaded is the work of the service that the last pick was for, if it has no room.
-	overloaded *overload.Controller
+	// overloaded is the service that the last pick was for, if it has no room.
+	overloaded *Service
 	// knowsOpen says that the flows that are open at targets are known.
 	knowsOpen bool
 	lapsed    lapsedCache
@@ -92,7 +91,7 @@
 		if found {
 			return o.repeat(now, table, &decision, held)
 		}
-		decision.Target = o.pick(now, table, route, nil)
+		decision.Target = o.pickAt(now, table, route, route.choose(packet.Service, o.random), nil)
 		return o.pin(now, &decision, ownership.Pin{})
 	})
 	switch {
@@ -101,7 +100,7 @@
 	case decision.Reason == ReasonEvacuated:
 		return Decision{Reason: ReasonEvacuated, Route: route}
 	case o.overloaded != nil:
-		return Decision{Action: Hold, Reason: ReasonOverload, Route: route, load: o.overloaded}
+		return Decision{Action: Hold, Reason: ReasonOverload, Route: route, load: o.overloaded.Load, Service: o.overloaded.Name}
 	case o.atLimit:
 		return Decision{Action: Hold, Reason: ReasonAtLimit, Route: route}
 	case table.isEvacuated(route):
--- a/internal/steering/token/overload_test.go
+++ b/internal/steering/token/overload_test.go
@@ -186,3 +186,32 @@
 		assert.Equal(t, bound(t, site), float64(all*5/6))
 	})
 }
+
+// TestAFlowThatWaitedGoesToTheServiceItWaitedFor: the weights are drawn by once for each flow.
+func TestAFlowThatWaitedGoesToTheServiceItWaitedFor(t *testing.T) {
+	site := overloadedSite(t)
+	site.configure(followed.Route{Address: bothAddress, Priority: 2, Backends: []followed.Backend{{Service: "roster", Weight: 1}, {Service: "ledger", Weight: 1}}})
+	load := site.table.services["roster"].Load
+	for range 10 {
+		load.Begin(overload.Preferred)
+	}
+	number, held := 0, Decision{}
+	for held.Action != Hold {
+		number++
+		held = site.open(bothAddress, number)
+	}
+	assert.Equal(t, held.Service, "roster")
+	for range 10 {
+		load.End(overload.Preferred)
+	}
+	site.now = site.now.Add(150 * time.Millisecond) // the flow that goes on in any case shows no work
+	packet := &Packet{Source: caller(number), Destination: bothAddress, IsOpening: true, Service: held.Service}
+	released := site.opener.Open(site.now, site.table, packet)
+	assert.Equal(t, released.Action, Forward)
+	assert.Equal(t, released.Target.Service, "roster")
+	t.Run("unless it gets no flows any more", func(t *testing.T) {
+		site.configure(followed.Route{Address: bothAddress, Backends: []followed.Backend{{Service: "roster"}, {Service: "ledger", Weight: 1}}})
+		packet.Source = caller(number + 1)
+		assert.Equal(t, site.opener.Open(site.now, site.table, packet).Target.Service, "ledger")
+	})
+}
--- a/internal/steering/token/pick.go
+++ b/internal/steering/token/pick.go
@@ -10,17 +10,21 @@
 
 // pick chooses a target, other than one that was silent: the service by the
 // route's weights, then the target by what is known of its load.
+func (o *Opener) pick(now time.Time, table *Table, route *Route, silent *Target) *Target {
+	return o.pickAt(now, table, route, route.next(o.random), silent)
+}
+
+// pickAt chooses a target for a chosen backend, nil if there is none.
 //
 // A service whose targets have enough to do turns nobody over to the others.
-func (o *Opener) pick(now time.Time, table *Table, route *Route, silent *Target) *Target {
+func (o *Opener) pickAt(now time.Time, table *Table, route *Route, chosen *followed.Backend, silent *Target) *Target {
 	o.atLimit, o.overloaded = false, nil
-	chosen := route.next(o.random)
 	if chosen == nil {
 		return nil
 	}
 	service := table.services[chosen.Service]
 	if service != nil && silent == nil && !service.Load.AdmitFlow(now, route.rank) {
-		o.overloaded = service.Load
+		o.overloaded = service
 		return nil
 	}
 	if target := o.pickOf(now, service, silent); target != nil || o.atLimit {
@@ -71,6 +75,20 @@
 	return nil
 }
 
+// choose returns the backend of a service that was chosen before, or the next if it gets no
+// flows any more. To draw once more would count twice against the weights, and let a flow that
+// waited for one service contend for another.
+func (r *Route) choose(service string, random *rand.Rand) *followed.Backend {
+	if service != "" {
+		for index := range r.Backends {
+			if backend := &r.Backends[index]; backend.Service == service && backend.Weight > 0 {
+				return backend
+			}
+		}
+	}
+	return r.next(random)
+}
+
 // next chooses a backend by smooth weighted round robin: over any stretch of
 // picks each backend's count is within one of its share. Daemons start it at
 // random points, so that they do not all begin with the same backend.
