--- a/internal/simulation/broken_test.go
+++ b/internal/simulation/broken_test.go
@@ -102,6 +102,7 @@
 }
 
 func TestTheChecksFindEachBrokenRule(t *testing.T) {
+	t.Parallel()
 	for name, arrange := range map[string]func(*Fleet){
 		"votes for anybody":          func(fleet *Fleet) { fleet.Tamper = voteForAll },
 		"acknowledges what it lacks": acknowledgeUnseen,
@@ -115,6 +116,7 @@
 }
 
 func TestTheSameSchedulesPassUnbroken(t *testing.T) {
+	t.Parallel()
 	for seed := range seeds(20) {
 		assert.Equal(t, runBroken(seed, func(*Fleet) {}), "", "seed %d", seed)
 	}
@@ -158,6 +160,7 @@
 }
 
 func TestARestartedVoterCountsForNothingUnderItsOldName(t *testing.T) {
+	t.Parallel()
 	found := 0
 	for seed := range seeds(20) {
 		if _, violations := loseVotersMemory(seed, true); len(violations) > 0 {
--- a/internal/simulation/calls_test.go
+++ b/internal/simulation/calls_test.go
@@ -42,6 +42,7 @@
 
 // TestAnOutageCostsCallsByItsLength, not by how many daemons there are.
 func TestAnOutageCostsCallsByItsLength(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range []int{20, 80, 240} {
 		if testing.Short() && daemons > 100 {
 			continue
@@ -54,6 +55,7 @@
 
 // TestWithoutTurnsAnOutageCostsCallsByDaemons: all of them ask as soon as news is old.
 func TestWithoutTurnsAnOutageCostsCallsByDaemons(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("240 daemons take long under the race detector; a seeded model has no races")
 	}
--- a/internal/simulation/coldstart_test.go
+++ b/internal/simulation/coldstart_test.go
@@ -62,6 +62,7 @@
 // TestALargeFleetStartsFromFewLists: the store's link is shared, and a list takes a tenth
 // of a second on most machines' own.
 func TestALargeFleetStartsFromFewLists(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("350 daemons take minutes under the race detector; a seeded model has no races")
 	}
@@ -77,6 +78,7 @@
 
 // TestWithoutSuppressionManyMoreListsAreBegun, which share the store's link.
 func TestWithoutSuppressionManyMoreListsAreBegun(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("350 daemons take minutes under the race detector; a seeded model has no races")
 	}
@@ -138,6 +140,7 @@
 
 // TestTargetsAreKnownBeforeALongConfiguration, however long it is: open flows need no more.
 func TestTargetsAreKnownBeforeALongConfiguration(t *testing.T) {
+	t.Parallel()
 	earlyBytes := followed.DefaultFleetConfig().Follower.EarlyBytes
 	for name, bytes := range map[string]int64{"1,400 routes": 300 << 10, "14,000 routes": 3 << 20} {
 		t.Run(name, func(t *testing.T) {
@@ -152,6 +155,7 @@
 
 // TestWithoutEarlyListsTargetsWaitForTheConfiguration.
 func TestWithoutEarlyListsTargetsWaitForTheConfiguration(t *testing.T) {
+	t.Parallel()
 	late, looked := targetsKnownLate(1, 300<<10, 0)
 	assert.Assert(t, looked > 10 && late == looked, "%d of %d late", late, looked)
 }
--- a/internal/simulation/fleet_test.go
+++ b/internal/simulation/fleet_test.go
@@ -60,6 +60,7 @@
 }
 
 func TestAFleetFormsOneGroupAndAcceptsChanges(t *testing.T) {
+	t.Parallel()
 	for seed := range seeds(50) {
 		fleet := newTestFleet(seed, 7)
 		fleet.StartAll()
@@ -77,6 +78,7 @@
 }
 
 func TestTheLeadersDeathLosesNothingAccepted(t *testing.T) {
+	t.Parallel()
 	for seed := range seeds(30) {
 		fleet := newTestFleet(seed, 7)
 		fleet.StartAll()
@@ -240,6 +242,7 @@
 }
 
 func TestConfigurationIsLinearizableUnderFaults(t *testing.T) {
+	t.Parallel()
 	forEachSeed(t, func(t *testing.T, seed uint64) {
 		fleet := newTestFleet(seed, 7)
 		fleet.StartAll()
--- a/internal/simulation/lives_test.go
+++ b/internal/simulation/lives_test.go
@@ -74,6 +74,7 @@
 // packets, targets cut off from some daemons, daemons that stand still or restart, targets
 // that hang or are slow.
 func TestNoFlowOfALivingTargetIsReset(t *testing.T) {
+	t.Parallel()
 	forEachSeed(t, func(t *testing.T, seed uint64) {
 		violations := resetsOfTheLiving(seed, liveness.DefaultConfig(), false)
 		assert.Equal(t, len(violations), 0, "seed %d: %v", seed, violations)
@@ -83,6 +84,7 @@
 // TestAJudgeThatWasJustCutOffBuriesNoTarget: in this schedule two daemons were cut off from all
 // targets between the send that a third one's caller repeated and their probes.
 func TestAJudgeThatWasJustCutOffBuriesNoTarget(t *testing.T) {
+	t.Parallel()
 	violations := resetsOfTheLiving(606, liveness.DefaultConfig(), false)
 	assert.Equal(t, len(violations), 0, "%v", violations)
 }
@@ -90,6 +92,7 @@
 // TestOneDaemonsWordResetsLivingFlows: the check finds a detector that takes one daemon's
 // word, and neither probes nor waits for objections.
 func TestOneDaemonsWordResetsLivingFlows(t *testing.T) {
+	t.Parallel()
 	hasty := hastyConfig()
 	found := 0
 	for seed := range uint64(5) {
@@ -126,6 +129,7 @@
 
 // TestCallersOfDeadTargetsAreToldSoon compares three ways.
 func TestCallersOfDeadTargetsAreToldSoon(t *testing.T) {
+	t.Parallel()
 	median := map[ToldWhen]time.Duration{}
 	for _, told := range []ToldWhen{ToldAtVerdict, ToldAtPacket, ToldNever} {
 		var waits []time.Duration
@@ -145,6 +149,7 @@
 // TestAnIdleTargetOfADarkZoneKeepsItsFlows: all other targets of its zone crash at once, and
 // nobody has heard from it for a while, as its callers rest.
 func TestAnIdleTargetOfADarkZoneKeepsItsFlows(t *testing.T) {
+	t.Parallel()
 	forEachSeed(t, func(t *testing.T, seed uint64) {
 		run := startFlowRun(seed)
 		run.playFor(4)
@@ -171,6 +176,7 @@
 // TestADeadTargetTakesNoOtherOfItsZoneAlong: others of its zone may have no callers, and so
 // show no life.
 func TestADeadTargetTakesNoOtherOfItsZoneAlong(t *testing.T) {
+	t.Parallel()
 	forEachSeed(t, func(t *testing.T, seed uint64) {
 		run := startFlowRun(seed)
 		run.playFor(3)
@@ -183,6 +189,7 @@
 // TestCallersOfALostZoneAreToldThoughEachTargetHasFew: no target of the zone has two callers
 // that ask while it is dead.
 func TestCallersOfALostZoneAreToldThoughEachTargetHasFew(t *testing.T) {
+	t.Parallel()
 	var waits []time.Duration
 	for seed := range uint64(5) {
 		run := startFlowRun(seed)
--- a/internal/simulation/memory_test.go
+++ b/internal/simulation/memory_test.go
@@ -159,6 +159,7 @@
 // the flows of routes as they led before, reset those of routes that were dropped and no
 // others, and follow no word of elsewhere.
 func TestNoFlowNeedsADaemonsMemory(t *testing.T) {
+	t.Parallel()
 	forEachSeed(t, func(t *testing.T, seed uint64) {
 		run := startMemoryRun(seed)
 		run.play()
@@ -171,6 +172,7 @@
 // opened a flow under a route that it did not know to have been dropped and to be back, and
 // then learned just the first.
 func TestAFlowUnderARouteThatCameBackIsNotReset(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{146, 259} {
 		run := startMemoryRun(seed)
 		run.play()
@@ -202,6 +204,7 @@
 // TestDaemonsWithoutMemoryResetTheFlowsOfADroppedRoute, all of them, once the store has
 // confirmed that the route is gone. With the mechanism off none is told.
 func TestDaemonsWithoutMemoryResetTheFlowsOfADroppedRoute(t *testing.T) {
+	t.Parallel()
 	assert.Equal(t, openKiosk(t, func(*memoryRun) {}).Resets, 40)
 	off := func(run *memoryRun) {
 		run.Spoil = func(_ *token.Packet, decision *token.Decision) {
@@ -216,6 +219,7 @@
 // TestTheChecksFindDaemonsThatNeedMemory: each double decides some packets wrongly, and the
 // check named finds it within 20 schedules.
 func TestTheChecksFindDaemonsThatNeedMemory(t *testing.T) {
+	t.Parallel()
 	var last token.Decision // that forwarded a packet
 	for check, spoil := range map[string]func(packet *token.Packet, decision *token.Decision){
 		"MEMORY": func(packet *token.Packet, decision *token.Decision) { // drops flows of a service
--- a/internal/simulation/orders_test.go
+++ b/internal/simulation/orders_test.go
@@ -35,6 +35,7 @@
 // TestOrdersKeepTheBoundsUnderEverySchedule: orders come and go under all troubles of the
 // store and of membership, and every daemon in touch knows within the bound.
 func TestOrdersKeepTheBoundsUnderEverySchedule(t *testing.T) {
+	t.Parallel()
 	forEachSeed(t, func(t *testing.T, first uint64) {
 		for seed := first * followedShare; seed < (first+1)*followedShare; seed++ {
 			run := startFollowedRun(seed, followed.DefaultFleetConfig())
@@ -49,6 +50,7 @@
 // TestADroppedHistoryWithdrawsAnOrder: the withdrawal falls into history that the store
 // drops, so that only a list without the order's key tells of it.
 func TestADroppedHistoryWithdrawsAnOrder(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		run := startFollowedRun(seed, followed.DefaultFleetConfig())
 		run.Clock.Advance(5 * time.Second)
@@ -68,6 +70,7 @@
 
 // TestARestartUnderADeadStoreLearnsOrdersFromPeers, those that were withdrawn among them.
 func TestARestartUnderADeadStoreLearnsOrdersFromPeers(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		run := startFollowedRun(seed, followed.DefaultFleetConfig())
 		run.Clock.Advance(5 * time.Second)
@@ -91,6 +94,7 @@
 // TestFlowsKeepEvacuationsUnderFaults plays whole flows while zones are evacuated and
 // taken back, under the faults of the other flow schedules.
 func TestFlowsKeepEvacuationsUnderFaults(t *testing.T) {
+	t.Parallel()
 	forEachSeed(t, func(t *testing.T, seed uint64) {
 		run := startFlowRun(seed)
 		run.evacuateInTurn(6 * time.Second)
@@ -112,6 +116,7 @@
 
 // TestTheChecksFindAnEvacuatedZoneThatGetsFlows: an order that nobody is told of.
 func TestTheChecksFindAnEvacuatedZoneThatGetsFlows(t *testing.T) {
+	t.Parallel()
 	run := startFlowRun(1)
 	run.Clock.Advance(5 * time.Second)
 	for _, zone := range testZones {
@@ -127,6 +132,7 @@
 // TestAnOrderIsSoonInForceEverywhere measures fleets of two sizes: while all is well, and
 // with whoever reads the store killed or turned away just when the order is written.
 func TestAnOrderIsSoonInForceEverywhere(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("fleets of hundreds take minutes under the race detector")
 	}
--- a/internal/simulation/readers_test.go
+++ b/internal/simulation/readers_test.go
@@ -117,6 +117,7 @@
 // TestNewsArrivesWhoeverStartedWhen: all or many daemons start at once, and none of
 // them is old enough to be trusted more than the others.
 func TestNewsArrivesWhoeverStartedWhen(t *testing.T) {
+	t.Parallel()
 	forEachSeed(t, func(t *testing.T, seed uint64) {
 		run := startReadersRun(seed, followed.DefaultFleetConfig())
 		run.playNews(40, func() { run.restartSome([]float64{0.2, 0.6, 1}[run.random.IntN(3)]) })
@@ -127,6 +128,7 @@
 // TestNewsArrivesWhileReadersAreLost: readers die, freeze, are refused or cut off by
 // a store that serves the others.
 func TestNewsArrivesWhileReadersAreLost(t *testing.T) {
+	t.Parallel()
 	forEachSeed(t, func(t *testing.T, seed uint64) {
 		run := startReadersRun(seed, followed.DefaultFleetConfig())
 		run.playNews(60, func() {
@@ -142,6 +144,7 @@
 
 // TestOneReaderIsLeft: whatever happened, soon one daemon reads for all.
 func TestOneReaderIsLeft(t *testing.T) {
+	t.Parallel()
 	forEachSeed(t, func(t *testing.T, seed uint64) {
 		run := startReadersRun(seed, followed.DefaultFleetConfig())
 		run.playNews(20, run.disturbOne)
--- a/internal/simulation/recovery_test.go
+++ b/internal/simulation/recovery_test.go
@@ -30,6 +30,7 @@
 // TestALostMajorityAcceptsNothingUntilItIsRecovered crashes two of three voters
 // at once, for good.
 func TestALostMajorityAcceptsNothingUntilItIsRecovered(t *testing.T) {
+	t.Parallel()
 	for seed := range seeds(10) {
 		fleet := newTestFleet(seed, 7)
 		fleet.StartAll()
@@ -59,6 +60,7 @@
 // TestEveryDaemonIsReplacedInTurn restarts each daemon, under a new identity,
 // with a change between any two.
 func TestEveryDaemonIsReplacedInTurn(t *testing.T) {
+	t.Parallel()
 	for seed := range seeds(10) {
 		fleet := newTestFleet(seed, 7)
 		fleet.StartAll()
@@ -83,6 +85,7 @@
 
 // TestACutOffDaemonLosesItsLeaseAndGetsItBack cuts one daemon from all others.
 func TestACutOffDaemonLosesItsLeaseAndGetsItBack(t *testing.T) {
+	t.Parallel()
 	fleet := newTestFleet(1, 7)
 	fleet.StartAll()
 	fleet.Clock.Advance(8 * time.Second)
@@ -104,6 +107,7 @@
 // TestAPausedDaemonKnowsOnWakingThatItsLeaseIsOver asks before any message has
 // reached it.
 func TestAPausedDaemonKnowsOnWakingThatItsLeaseIsOver(t *testing.T) {
+	t.Parallel()
 	fleet := newTestFleet(2, 5)
 	fleet.StartAll()
 	fleet.Clock.Advance(8 * time.Second)
@@ -117,6 +121,7 @@
 
 // TestTheGroupIsHealedAfterAnHourApart splits seven daemons for an hour.
 func TestTheGroupIsHealedAfterAnHourApart(t *testing.T) {
+	t.Parallel()
 	fleet := newTestFleet(3, 7)
 	fleet.StartAll()
 	fleet.Clock.Advance(8 * time.Second)
@@ -144,6 +149,7 @@
 // TestAReplacementWithAClockBehindIsTakenIn restarts a daemon whose clock was an
 // hour ahead, at once and after the group has noticed its death.
 func TestAReplacementWithAClockBehindIsTakenIn(t *testing.T) {
+	t.Parallel()
 	for _, wait := range []time.Duration{100 * time.Millisecond, 30 * time.Second} {
 		fleet := newTestFleet(4, 5)
 		const ahead = 2
--- a/internal/simulation/resting_test.go
+++ b/internal/simulation/resting_test.go
@@ -59,6 +59,7 @@
 // TestNoRequestGoesToATargetThatWasFoundDead: flows rest when their target crashes, and their
 // callers know before they send again.
 func TestNoRequestGoesToATargetThatWasFoundDead(t *testing.T) {
+	t.Parallel()
 	forEachSeed(t, func(t *testing.T, seed uint64) {
 		run := startPooled(seed, ToldAtVerdict)
 		run.playCrashes(false)
@@ -69,6 +70,7 @@
 
 // TestRequestsAreLostWhereOnlyCallersThatWaitAreTold shows what the resets are for.
 func TestRequestsAreLostWhereOnlyCallersThatWaitAreTold(t *testing.T) {
+	t.Parallel()
 	after := map[ToldWhen]int{}
 	for _, told := range []ToldWhen{ToldAtVerdict, ToldIfWaiting} {
 		lost := 0
@@ -86,6 +88,7 @@
 
 // TestNoFlowThatRestsAtALivingTargetIsReset: targets crash beside others that only look dead.
 func TestNoFlowThatRestsAtALivingTargetIsReset(t *testing.T) {
+	t.Parallel()
 	forEachSeed(t, func(t *testing.T, seed uint64) {
 		run := startPooled(seed, ToldAtVerdict)
 		run.playCrashes(true)
@@ -95,6 +98,7 @@
 
 // TestTheChecksFindAResetOfAFlowThatRests: a daemon takes a living target for dead.
 func TestTheChecksFindAResetOfAFlowThatRests(t *testing.T) {
+	t.Parallel()
 	run := startPooled(1, ToldAtVerdict)
 	run.AllRestAtDead = true
 	run.crashSome()
@@ -105,6 +109,7 @@
 // TestAHastyVerdictResetsFlowsThatRest: the check finds a detector that takes one daemon's
 // word, and neither probes nor waits for objections.
 func TestAHastyVerdictResetsFlowsThatRest(t *testing.T) {
+	t.Parallel()
 	found := 0
 	for seed := range uint64(5) {
 		run := startPooled(seed, ToldAtVerdict)
@@ -134,6 +139,7 @@
 // TestAVerdictReachesWhoMissedItsDatagram: in these schedules a daemon did, and a request went
 // through it to a target that was known to be dead.
 func TestAVerdictReachesWhoMissedItsDatagram(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{238, 283, 344, 347, 372, 378} {
 		run := startPooled(seed, ToldAtVerdict)
 		run.playCrashes(false)
@@ -145,6 +151,7 @@
 // the target had gone that ran at the address before, and reset the flows of the living one when
 // its entry lapsed.
 func TestALapsedTargetIsNotSupersededByTheOneBefore(t *testing.T) {
+	t.Parallel()
 	run := startFlowRun(10384)
 	run.play()
 	assert.Equal(t, len(run.Violations), 0, "%v", run.Violations)
@@ -153,6 +160,7 @@
 // TestTwoDaemonsThatLosePacketsBuryNoTarget: in this schedule one of them had a caller, and the
 // other one judged and lost both of its probes.
 func TestTwoDaemonsThatLosePacketsBuryNoTarget(t *testing.T) {
+	t.Parallel()
 	run := startPooled(760, ToldAtVerdict)
 	run.playCrashes(true)
 	assert.Equal(t, len(run.Violations), 0, "%v", run.Violations)
--- a/internal/simulation/strength_test.go
+++ b/internal/simulation/strength_test.go
@@ -68,6 +68,7 @@
 // TestStrongDaemonsBringNewsToAll in two hops; without relays gossip needs several rounds of
 // a tick each.
 func TestStrongDaemonsBringNewsToAll(t *testing.T) {
+	t.Parallel()
 	const within = 50 * time.Millisecond
 	config := followed.DefaultFleetConfig()
 	config.Follower.Gather = 0
@@ -102,6 +103,7 @@
 // TestNewsArrivesWhileStrongDaemonsAreLost: they die, freeze, or are cut off, and calls stay
 // few.
 func TestNewsArrivesWhileStrongDaemonsAreLost(t *testing.T) {
+	t.Parallel()
 	seeds := uint64(6)
 	if testing.Short() {
 		seeds = 1 // The race detector makes 60 daemons slow; a seeded model has no races.
@@ -132,6 +134,7 @@
 // TestALostStrongReaderIsReplaced whichever way it is lost. With weak daemons that wait for
 // strong ones for ever it is not.
 func TestALostStrongReaderIsReplaced(t *testing.T) {
+	t.Parallel()
 	for name, isWaiting := range map[string]bool{"as it is": false, "weak ones wait": true} {
 		config := followed.DefaultFleetConfig()
 		if isWaiting {
@@ -178,6 +181,7 @@
 // TestWholeContentsSpreadOverAFleetThatStarts: what the busiest gives grows by less than the
 // root of the number of daemons, and starts wait little for it.
 func TestWholeContentsSpreadOverAFleetThatStarts(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("300 daemons take minutes under the race detector; a seeded model has no races")
 	}
--- a/internal/simulation/zoneload_test.go
+++ b/internal/simulation/zoneload_test.go
@@ -25,6 +25,7 @@
 // TestToldFlowsSpreadLoad at each size and load, also with a burst while a third of the
 // targets goes: the busiest target has less above the mean, and nobody waits longer.
 func TestToldFlowsSpreadLoad(t *testing.T) {
+	t.Parallel()
 	for _, size := range zoneSizes {
 		for _, busy := range []float64{0.05, 0.3, 0.6} {
 			for _, isDisturbed := range []bool{false, true} {
