Overload: shares of a moment, old bounds, switched off, no bound left

Causes and changes, each with its test, which failed before: - SetShare raised the stored bound to the share, and a share of a moment (members lost from view) stayed in it: 40 in place of 4 after it. Bound returns the greater of both; a rejection never raises what is stored. - One rejection an hour after the last revived a bound that nobody had asked for since, as only Bound ended it. NoteAnswer ends it first. - A controller that is not enabled went on to report rejections, by which targets were passed over. It takes nothing in. - A flow was refused where the bound had gone between its decision and its place in the queue: places were 0 without a bound, and are unlimited.

--- a/internal/overload/hold.go
+++ b/internal/overload/hold.go
@@ -42,11 +42,11 @@
 }
 
 // places returns how many new flows of a rank may wait at once: those for which room is
-// expected while they may.
+// expected while they may, and any number while there is no bound.
 func (c *Controller) places(now time.Time, rank Rank) int {
 	bound, isBound := c.Bound(now)
 	if !isBound {
-		return 0
+		return math.MaxInt // it may go on at once
 	}
 	if rank == Ordinary {
 		bound = max(leastBound, bound-c.InProgress(now, Preferred))
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -88,7 +88,8 @@
 	config Config
 	// share is this daemon's equal part of what the targets can take, 0 if not known.
 	share float64
-	// bound is meaningful while isBound.
+	// bound is meaningful while isBound. What holds is no less than share; a share of a moment
+	// leaves no trace in it.
 	bound   float64
 	isBound bool
 
@@ -117,7 +118,6 @@
 	if daemons > 0 && slots > 0 {
 		c.share = max(leastBound, c.config.PerSlot*float64(slots)/float64(daemons))
 	}
-	c.bound = max(c.bound, c.share)
 }
 
 // Opened counts a new flow that goes to a target.
@@ -168,11 +168,17 @@
 	if c == nil || !c.isBound || c.share == 0 || !c.config.Enabled {
 		return 0, false
 	}
+	if c.expire(now); !c.isBound {
+		return 0, false
+	}
+	return max(c.bound, c.share), true
+}
+
+// expire ends a bound without rejections that nobody has felt for calm.
+func (c *Controller) expire(now time.Time) {
 	if now.Sub(c.rejectedAt) >= calm && now.Sub(c.feltAt) >= calm {
 		c.isBound = false
-		return 0, false
 	}
-	return c.bound, true
 }
 
 // Admit reports whether work of a rank may go on now. Preferred work contends only with
@@ -215,9 +221,10 @@
 // NoteAnswer takes in the length, in bytes, of the beginning of a route's answer, and
 // reports whether the target turned the request away.
 func (c *Controller) NoteAnswer(now time.Time, route uint32, length uint32) (isRejection bool) {
-	if c == nil {
+	if c == nil || !c.config.Enabled {
 		return false
 	}
+	c.expire(now)
 	if c.lengthsOf(route).isRejection(length) {
 		c.noteRejection(now)
 		return true
@@ -232,7 +239,7 @@
 func (c *Controller) noteRejection(now time.Time) {
 	c.rejectedAt = now
 	if c.isBound {
-		c.bound = max(c.share, c.bound*(1-gain*(1-c.config.Rejected)))
+		c.bound = min(c.bound, max(c.share, c.bound*(1-gain*(1-c.config.Rejected))))
 		return
 	}
 	c.evidence = 1 + c.evidence*math.Exp(-float64(now.Sub(c.evidenceAt))/float64(evidenceMemory))
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -195,3 +195,48 @@
 	assert.Assert(t, queue.Put(start, waitAt(controller, Ordinary, false, "request")))
 	assert.Equal(t, queue.Len(), 5)
 }
+
+// TestAShareOfAMomentLeavesNoTrace: members may be lost from view for a moment.
+func TestAShareOfAMomentLeavesNoTrace(t *testing.T) {
+	controller := rejected(t, 100)
+	before, _ := controller.Bound(start)
+	controller.SetShare(20, 1)
+	during, _ := controller.Bound(start)
+	assert.Assert(t, during > before, "the bound is no lower than the equal part")
+	controller.NoteAnswer(start, route, rejectSize)
+	controller.SetShare(20, 10)
+	after, _ := controller.Bound(start)
+	assert.Equal(t, after, before)
+}
+
+func TestOneRejectionDoesNotReviveAnOldBound(t *testing.T) {
+	controller := rejected(t, 100)
+	later := start.Add(time.Hour)
+	controller.NoteAnswer(later, route, rejectSize)
+	_, isBound := controller.Bound(later)
+	assert.Assert(t, !isBound)
+}
+
+func TestAControllerThatIsSwitchedOffTakesNothingIn(t *testing.T) {
+	controller := New(Config{})
+	controller.SetShare(20, 10)
+	for range 1000 {
+		assert.Assert(t, !controller.NoteAnswer(start, route, answerSize))
+	}
+	for range 100 {
+		assert.Assert(t, !controller.NoteAnswer(start, route, rejectSize))
+	}
+	assert.Equal(t, len(controller.lengths), 0)
+	var none *Controller
+	assert.Assert(t, !none.NoteAnswer(start, route, rejectSize))
+}
+
+// TestAFlowMayWaitWhereTheBoundHasJustGone: between the decision to hold it and its place.
+func TestAFlowMayWaitWhereTheBoundHasJustGone(t *testing.T) {
+	controller := rejected(t, 100)
+	admitted(controller, start, Ordinary)
+	assert.Assert(t, !controller.Admit(start, Ordinary))
+	controller.SetShare(0, 0)
+	queue := NewQueue[string](10)
+	assert.Assert(t, queue.Put(start, waitAt(controller, Ordinary, true, "flow")))
+}
