Overload: a daemon that starts into overload sees rejections

Cause: a route's usual length followed the median from the first answer on. Where more than half of the first answers are rejections, their length became usual: 0 of some 3,840 rejections in a minute were seen, so that there was no bound.

Change: the usual length is begun from the upper quartile of the first 16 answers, and rises five times as fast as it falls, to what one answer in six exceeds.

--- a/internal/overload/lengths.go
+++ b/internal/overload/lengths.go
@@ -1,15 +1,20 @@
 package overload
 
+import "slices"
+
 const (
-	// shortAnswer is the part of a route's usual length below which an answer is taken for
-	// a rejection.
+	// shortAnswer is the part of a route's usual length below which an answer is short:
+	// rejections are, where what a route serves is long.
 	shortAnswer = 1.0 / 3
-	// learnedAfter is how many answers a route's usual length is learned from.
+	// learnedAfter is how many answers a route's usual length is begun from, as their upper
+	// quartile: what a daemon sees first may for the most part be rejections.
 	learnedAfter = 16
-	// lengthStep is by what part the usual length follows an answer, relearnStep by what a
-	// short one: under overload most answers are rejections, and must not become usual
-	// within minutes.
-	lengthStep  = 0.05
+	// riseStep is by what part the usual length follows a longer answer, fallStep by what a
+	// shorter one. Their ratio makes it the length that one answer in six exceeds (Robbins,
+	// Monro, "A Stochastic Approximation Method", 1951), so that five rejections in six
+	// answers do not become usual. relearnStep is by what it follows a short one.
+	riseStep    = 0.05
+	fallStep    = 0.01
 	relearnStep = 0.0005
 	// mostRoutes bounds the routes that are remembered.
 	mostRoutes = 4096
@@ -17,7 +22,9 @@
 
 // lengths tells a route's rejections from its answers: a rejection is short.
 type lengths struct {
-	count int
+	// first are the answers that the usual length is begun from.
+	first []uint32
+	// usual is the usual length in bytes, a high quantile.
 	usual float64
 }
 
@@ -35,20 +42,34 @@
 
 // isRejection takes in an answer and reports whether it is short.
 func (l *lengths) isRejection(length uint32) bool {
-	l.count++
-	if l.count == 1 {
-		l.usual = float64(length)
+	if l.usual == 0 {
+		l.begin(length)
 		return false
 	}
-	isShort := l.count > learnedAfter && float64(length) < l.usual*shortAnswer
-	step := lengthStep
-	if isShort {
-		step = relearnStep
+	isShort := float64(length) < l.usual*shortAnswer
+	l.follow(float64(length), isShort)
+	return isShort
+}
+
+// begin gathers the answers that the usual length is begun from.
+func (l *lengths) begin(length uint32) {
+	l.first = append(l.first, length)
+	if len(l.first) < learnedAfter {
+		return
 	}
-	if float64(length) > l.usual {
-		l.usual *= 1 + step
-	} else {
-		l.usual /= 1 + step
+	slices.Sort(l.first)
+	l.usual = max(1, float64(l.first[learnedAfter*3/4]))
+	l.first = nil
+}
+
+// follow moves the usual length.
+func (l *lengths) follow(length float64, isShort bool) {
+	switch {
+	case length > l.usual:
+		l.usual *= 1 + riseStep
+	case isShort:
+		l.usual /= 1 + relearnStep
+	default:
+		l.usual /= 1 + fallStep
 	}
-	return isShort
 }
