Overload: short answers count against their usual share

Cause: each answer of less than a third of the usual length was a rejection. Where a route's answers naturally come in two lengths the bound stayed for ever and callers were refused without overload; one target in a hundred that fails fast did the same, and kept weak evidence from counting.

Change: for each route a share of short answers over 64 answers and a usual one over 4,096, over 32,768 while bounded, begun from the first 64 at a quarter at most. A short answer is a rejection only while the first is more than twice the second and 0.05 more. Those that came before count as evidence with the first that is.

Tried and not kept: a usual share that begins as a running mean (over 512 or 128 answers); the start into overload saw 42 and 16 rejections.

Overload of tens of thousands of answers at a daemon slowly becomes usual.

--- a/internal/overload/lengths.go
+++ b/internal/overload/lengths.go
@@ -20,12 +20,36 @@
 	mostRoutes = 4096
 )
 
-// lengths tells a route's rejections from its answers: a rejection is short.
+const (
+	// fastMemory is over how many answers the share of short ones is taken now: a daemon of
+	// a large fleet sees as many in a second or two.
+	fastMemory = 64
+	// usualMemory is over how many answers it is taken for usual, and boundedMemory while
+	// work is bounded: rejections of minutes must not become usual.
+	usualMemory   = 4096
+	boundedMemory = 32768
+	// mostUsualBegun is the share that is usual at most after the first fastMemory answers:
+	// with more, a daemon that starts into overload would see none.
+	mostUsualBegun = 0.25
+	// Short answers count as rejections while their share now is more than countsTimes what
+	// is usual and countsOver more. The first keeps the chance of fastMemory answers from
+	// counting, the second few failing targets; it is below Config.Rejected, at which a
+	// bound rests.
+	countsTimes = 2
+	countsOver  = 0.05
+)
+
+// lengths tells a route's rejections from its answers: rejections are short, and there are
+// more short answers than usual.
 type lengths struct {
 	// first are the answers that the usual length is begun from.
 	first []uint32
 	// usual is the usual length in bytes, a high quantile.
 	usual float64
+	// count is of how many answers shares are known; now and before are the shares of short
+	// ones, by exponential smoothing.
+	count       int
+	now, before float64
 }
 
 func (c *Controller) lengthsOf(route uint32) *lengths {
@@ -40,15 +64,17 @@
 	return held
 }
 
-// isRejection takes in an answer and reports whether it is short.
-func (l *lengths) isRejection(length uint32) bool {
+// note takes in an answer and reports whether it is short, and whether it counts as a
+// rejection. memory is over how many answers the usual share of short ones follows.
+func (l *lengths) note(length uint32, memory float64) (isShort, isRejection bool) {
 	if l.usual == 0 {
 		l.begin(length)
-		return false
+		return false, false
 	}
-	isShort := float64(length) < l.usual*shortAnswer
+	isShort = float64(length) < l.usual*shortAnswer
 	l.follow(float64(length), isShort)
-	return isShort
+	l.share(isShort, memory)
+	return isShort, isShort && l.count > fastMemory && l.now > countsTimes*l.before+countsOver
 }
 
 // begin gathers the answers that the usual length is begun from.
@@ -73,3 +99,18 @@
 		l.usual /= 1 + fallStep
 	}
 }
+
+// share moves the shares of short answers.
+func (l *lengths) share(isShort bool, memory float64) {
+	hit := 0.0
+	if isShort {
+		hit = 1
+	}
+	l.count++
+	l.now += (hit - l.now) / min(float64(l.count), fastMemory)
+	if l.count <= fastMemory {
+		l.before = min(l.now, mostUsualBegun)
+		return
+	}
+	l.before += (hit - l.before) / memory
+}
--- a/internal/overload/lengths_test.go
+++ b/internal/overload/lengths_test.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -8,6 +9,118 @@
 	"gotest.tools/v3/assert"
 )
 
+// mixedLoad is ten minutes of 100 requests a second that take 200 ms each at targets that
+// bound nothing themselves.
+type mixedLoad struct {
+	// shortShare of the answers are short.
+	shortShare float64
+	// From overloadFrom to overloadUntil four in five answers are rejections.
+	overloadFrom, overloadUntil time.Duration
+	seed                        uint64
+}
+
+// mixedResult is what a mixedLoad leads to: requests that were refused, and those of them of
+// the last five minutes, and whether there is a bound in the end.
+type mixedResult struct {
+	refused, refusedLate int
+	isBound              bool
+}
+
+func (m mixedLoad) play() (result mixedResult) {
+	const (
+		requests = 60000
+		pause    = 10 * time.Millisecond
+		work     = 200 * time.Millisecond
+		rejected = 0.8
+	)
+	random := rand.New(rand.NewPCG(m.seed, 2))
+	controller := New(DefaultConfig())
+	controller.SetShare(240, 88)
+	now := start
+	var ends []time.Time
+	for index := range requests {
+		now = now.Add(pause)
+		for len(ends) > 0 && !now.Before(ends[0]) {
+			ends = ends[1:]
+			controller.End(Ordinary)
+			share, since := m.shortShare, now.Sub(start)
+			if since >= m.overloadFrom && since < m.overloadUntil {
+				share = rejected
+			}
+			length := uint32(answerSize)
+			if random.Float64() < share {
+				length = rejectSize
+			}
+			controller.NoteAnswer(now, route, length)
+		}
+		if !controller.Admit(now, Ordinary) {
+			result.refused++
+			if index >= requests/2 {
+				result.refusedLate++
+			}
+			continue
+		}
+		controller.Begin(Ordinary)
+		ends = append(ends, now.Add(work))
+	}
+	_, result.isBound = controller.Bound(now)
+	return result
+}
+
+// nearlyNone is how many of the 60,000 requests of a mixedLoad chance may have refused.
+const nearlyNone = 30
+
+// TestShortAnswersThatAreUsualBoundNothing: many routes' answers come in two lengths.
+func TestShortAnswersThatAreUsualBoundNothing(t *testing.T) {
+	for _, oneIn := range []int{3, 4, 5, 6, 8, 20, 50} {
+		t.Run(fmt.Sprint("one in ", oneIn), func(t *testing.T) {
+			for seed := range uint64(10) {
+				result := mixedLoad{shortShare: 1 / float64(oneIn), seed: seed}.play()
+				assert.Assert(t, result.refused <= nearlyNone, "%d refused, seed %d", result.refused, seed)
+				assert.Assert(t, !result.isBound, "seed %d", seed)
+			}
+		})
+	}
+}
+
+// TestABoundEndsAfterAnOverloadAlsoWhereShortAnswersAreUsual: a minute of rejections, after
+// which answers are as before.
+func TestABoundEndsAfterAnOverloadAlsoWhereShortAnswersAreUsual(t *testing.T) {
+	for _, oneIn := range []int{3, 5, 8, 20} {
+		t.Run(fmt.Sprint("one in ", oneIn), func(t *testing.T) {
+			for seed := range uint64(10) {
+				result := mixedLoad{shortShare: 1 / float64(oneIn), overloadFrom: time.Minute, overloadUntil: 2 * time.Minute, seed: seed}.play()
+				assert.Assert(t, result.refused > 1000, "the overload was not seen: %d, seed %d", result.refused, seed)
+				assert.Assert(t, result.refusedLate <= nearlyNone, "%d refused, seed %d", result.refusedLate, seed)
+				assert.Assert(t, !result.isBound, "seed %d", seed)
+			}
+		})
+	}
+}
+
+// TestOneFailingTargetOfAHundredBoundsNothing: its answers are errors, short and fast.
+func TestOneFailingTargetOfAHundredBoundsNothing(t *testing.T) {
+	const answers, pause = 300000, 2 * time.Millisecond
+	for seed := range uint64(5) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		controller := New(DefaultConfig())
+		controller.SetShare(200, 3)
+		bounded := 0
+		for index := range answers {
+			now := start.Add(time.Duration(index) * pause)
+			length := uint32(answerSize)
+			if index > 1000 && random.IntN(100) == 0 {
+				length = rejectSize
+			}
+			controller.NoteAnswer(now, route, length)
+			if _, isBound := controller.Bound(now); isBound {
+				bounded++
+			}
+		}
+		assert.Assert(t, bounded < answers/20, "bounded in %d of %d answers, seed %d", bounded, answers, seed)
+	}
+}
+
 // TestADaemonThatStartsIntoOverloadSeesRejections: of a minute's answers, the first one
 // included, more than half are rejections.
 func TestADaemonThatStartsIntoOverloadSeesRejections(t *testing.T) {
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -64,7 +64,8 @@
 	evidenceMemory = time.Second
 	evidenceLeast  = 5
 	// calm is how long after the last rejection, and after the bound was last felt, there
-	// is none any more: longer than callers' returns after a refusal.
+	// is none any more: longer than callers' returns after a refusal. Fewer rejections than
+	// Config.Rejected do not keep a bound that nobody feels.
 	calm = 3 * time.Second
 	// felt is how long after work was held or refused answers count as given under the
 	// bound: a bound that nobody feels must not rise.
@@ -93,8 +94,12 @@
 	bound   float64
 	isBound bool
 
+	// rejected is the share of rejections among the last fastMemory answers or so.
+	rejected float64
+
 	evidence   float64
 	evidenceAt time.Time
+	begunAt    time.Time // the bound
 	rejectedAt time.Time
 	feltAt     time.Time
 	floorAt    time.Time
@@ -174,9 +179,11 @@
 	return max(c.bound, c.share), true
 }
 
-// expire ends a bound without rejections that nobody has felt for calm.
+// expire ends a bound that nobody has felt for calm, if there were no rejections for as long
+// or their share is one at which a bound would not fall.
 func (c *Controller) expire(now time.Time) {
-	if now.Sub(c.rejectedAt) >= calm && now.Sub(c.feltAt) >= calm {
+	isFew := now.Sub(c.rejectedAt) >= calm || c.rejected < c.config.Rejected
+	if isFew && now.Sub(c.feltAt) >= calm && now.Sub(c.begunAt) >= calm {
 		c.isBound = false
 	}
 }
@@ -225,10 +232,20 @@
 		return false
 	}
 	c.expire(now)
-	if c.lengthsOf(route).isRejection(length) {
+	memory := float64(usualMemory)
+	if c.isBound {
+		memory = boundedMemory
+	}
+	isShort, isRejection := c.lengthsOf(route).note(length, memory)
+	if isShort && !c.isBound {
+		c.noteEvidence(now)
+	}
+	if isRejection {
+		c.rejected += (1 - c.rejected) / fastMemory
 		c.noteRejection(now)
 		return true
 	}
+	c.rejected -= c.rejected / fastMemory
 	if c.isBound && now.Sub(c.feltAt) < felt {
 		c.bound *= 1 + gain*c.config.Rejected
 	}
@@ -242,12 +259,18 @@
 		c.bound = min(c.bound, max(c.share, c.bound*(1-gain*(1-c.config.Rejected))))
 		return
 	}
-	c.evidence = 1 + c.evidence*math.Exp(-float64(now.Sub(c.evidenceAt))/float64(evidenceMemory))
-	c.evidenceAt = now
 	if c.evidence < evidenceLeast {
 		return
 	}
 	c.evidence = 0
 	c.isBound = true
+	c.begunAt = now
 	c.bound = max(c.share, c.InProgress(now, Preferred)+c.InProgress(now, Ordinary))
 }
+
+// noteEvidence counts a short answer while there is no bound. Those that came before the
+// route's share of them was one that counts are evidence with the first that does.
+func (c *Controller) noteEvidence(now time.Time) {
+	c.evidence = 1 + c.evidence*math.Exp(-float64(now.Sub(c.evidenceAt))/float64(evidenceMemory))
+	c.evidenceAt = now
+}
