--- a/internal/node/followed_crowded_test.go
+++ b/internal/node/followed_crowded_test.go
@@ -203,3 +203,20 @@
 	assert.DeepEqual(t, plane.sentOn(), []string{})
 	assert.Equal(t, plane.counters.crowded.Load(), uint64(1))
 }
+
+// TestDataThatWaitsSaysThatItsTargetLivedWhenItWasLastAsked: what it acknowledges may have come
+// long before, and the target may have died since.
+func TestDataThatWaitsSaysThatItsTargetLivedWhenItWasLastAsked(t *testing.T) {
+	plane := newCrowdedPlane(t, 8)
+	packet := &token.Packet{Source: crowdedCaller(1), Destination: followedRoute, Token: token.WordAt(followedRoute, 77), PayloadLength: 1}
+	first := plane.decide(plane.table.Load(), packet, arrival{at: time.Now().Add(-time.Hour)})
+	assert.Equal(t, first.Action, token.Forward)
+	sentBy := time.Now()
+	next := *packet
+	next.Sequence, next.Acknowledgement = 1, 1000
+	held := plane.decide(plane.table.Load(), &next, arrival{at: time.Now()})
+	assert.Equal(t, held.Action, token.Hold)
+	life := held.Target.Signal.LastLife()
+	assert.Assert(t, !life.IsZero() && !life.After(sentBy), "%v after the request was sent", life.Sub(sentBy))
+	assert.Equal(t, next.PayloadLength, 1)
+}
