--- a/internal/node/followed_crowded_test.go
+++ b/internal/node/followed_crowded_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -183,14 +184,16 @@
 }
 
 func TestWhoWaitsGoesBeforeWhoComes(t *testing.T) {
-	plane := newCrowdedPlane(t, 8)
-	plane.handle(plane.releaser, packetOf(1, wordOpen, ""), arrival{at: time.Now().Add(time.Hour)})
-	assert.DeepEqual(t, plane.sentOn(), []string{})
-	plane.makeRoom()
-	plane.comes(2, wordOpen, "")
-	assert.DeepEqual(t, plane.sentOn(), []string{"1open"})
-	assert.Equal(t, plane.crowded.Len(), 1)
-	assert.Equal(t, plane.counters.crowded.Load(), uint64(2))
+	synctest.Test(t, func(t *testing.T) { // no time passes between the two
+		plane := newCrowdedPlane(t, 8)
+		plane.handle(plane.releaser, packetOf(1, wordOpen, ""), arrival{at: time.Now().Add(time.Hour)})
+		assert.DeepEqual(t, plane.sentOn(), []string{})
+		plane.makeRoom()
+		plane.comes(2, wordOpen, "")
+		assert.DeepEqual(t, plane.sentOn(), []string{"1open"})
+		assert.Equal(t, plane.crowded.Len(), 1)
+		assert.Equal(t, plane.counters.crowded.Load(), uint64(2))
+	})
 }
 
 func TestWhatMustWaitOnceMoreIsCountedOnce(t *testing.T) {
