--- a/internal/liveness/detector.go
+++ b/internal/liveness/detector.go
@@ -2,7 +2,7 @@
 // nobody acknowledges, and no daemon sees a sign of life. A daemon that suspects a target
 // tells a few judges, chosen by the target. A judge with the evidence of several asks all
 // daemons, and those that have heard from the target object; it also probes the target
-// itself. If nobody hears from it in time, the judge tells all that the target is dead,
+// itself. If nobody gets anything from it in time, the judge tells all that the target is dead,
 // until anybody does.
 //
 // A zone none of whose targets is heard from is held for silent in the same way. That buries
--- a/internal/node/followed_liveness.go
+++ b/internal/node/followed_liveness.go
@@ -56,8 +56,8 @@
 	n.carryLives(now, table, n.lives.Tick(now, targets))
 }
 
-// hearLives takes in what other daemons say of targets' lives.
-func (n *Followed) hearLives(now time.Time, reports []liveness.Received) {
+// takeLives takes in what other daemons say of targets' lives.
+func (n *Followed) takeLives(now time.Time, reports []liveness.Received) {
 	if table := n.plane.table.Load(); table != nil && len(reports) > 0 {
 		n.carryLives(now, table, n.lives.Hear(now, n.livenessDirectory(now, table), reports))
 	}
--- a/internal/node/followed_loads.go
+++ b/internal/node/followed_loads.go
@@ -33,8 +33,8 @@
 	n.shareSpeeds(now, table)
 }
 
-// hearLoads takes in what daemons of the zone told of open flows, and of speeds behind that.
-func (n *Followed) hearLoads(now time.Time, messages [][]byte) {
+// takeLoads takes in what daemons of the zone told of open flows, and of speeds behind that.
+func (n *Followed) takeLoads(now time.Time, messages [][]byte) {
 	for _, message := range messages {
 		others := message[len(message)-n.loads.Hear(now, message):]
 		if n.speeds.Hear(now, others) > 0 {
--- a/internal/node/followed_speeds_test.go
+++ b/internal/node/followed_speeds_test.go
@@ -38,12 +38,12 @@
 		teller.loads.Tick(now, func() map[uint32]int { return map[uint32]int{uint32(slow) << 16: 2} })
 		message := teller.nearMessage(now)
 		assert.Assert(t, len(message) <= loadshare.MaximumBytes)
-		first.hearLoads(now, [][]byte{message})
+		first.takeLoads(now, [][]byte{message})
 	}
 	for range 20 {
 		message := first.nearMessage(now)
 		assert.Assert(t, len(message) <= loadshare.MaximumBytes)
-		last.hearLoads(now, [][]byte{message})
+		last.takeLoads(now, [][]byte{message})
 	}
 	totals, areWhole := last.loads.Totals(now)
 	assert.Assert(t, areWhole)
@@ -51,6 +51,6 @@
 	estimates := last.speeds.Estimates(now)
 	assert.Assert(t, estimates[slow].Speed < 0.5 && estimates[slow+1].Speed == 1)
 	assert.Equal(t, last.counters().loadsUnread.Load(), uint64(0))
-	last.hearLoads(now, [][]byte{{1, 2, 3}})
+	last.takeLoads(now, [][]byte{{1, 2, 3}})
 	assert.Equal(t, last.counters().loadsUnread.Load(), uint64(1))
 }
--- a/internal/steering/token/unrouted.go
+++ b/internal/steering/token/unrouted.go
@@ -39,7 +39,7 @@
 // once the store has confirmed a view without the route as of a moment at which the flow
 // was open already, it was dropped. No memory of earlier configurations is needed, so that
 // a daemon that was restarted resets such flows as all others do. That the route is known to
-// have been dropped would not do: it may have come back, and a daemon that hears of it late
+// have been dropped would not do: it may have come back, and a daemon that learns of it late
 // would reset flows that were opened since. One goroutine at a time may use it.
 type Unrouted struct {
 	flows map[addressPair]unroutedFlow
