followed: a daemon with a configuration lists the store in full

Callers: none seen; found by reading. As the reader after the store had dropped its history it gave up a list of three pages of 104 KB on a link of 20 Mbit/s and waited up to 4 s for peers, which waited for it.

Ruled out: the answer's own length check, which applies to the same bound. The bound now applies only without a configuration. TestSyncedDaemonListsInFull failed before (MaxBytes 102,400, wanted 0).

--- a/internal/followed/listparts.go
+++ b/internal/followed/listparts.go
@@ -43,8 +43,10 @@
 	call.Kind = CallList
 	call.AllowStale = !f.needsConsistentList && len(f.pages) == 0
 	call.Timeout = f.growTimeout(f.config.ListTimeout)
-	call.MaxBytes = f.maxListBytes
 	call.AfterKey = f.afterKey
+	if f.view.Configuration() == nil {
+		call.MaxBytes = f.maxListBytes
+	}
 	switch f.part {
 	case partTargets:
 		call.TargetsOnly = true
