followed: a long list is read in ranges of keys at once when the store answers late

Callers: nobody is served for as long as the store answers slowly.

Ruled out: the store's link (the same without congestion, 300 daemons with the whole link of 1 Gbit/s: never within 18 s); timeouts (none fires). Ways weighed: longer timeouts and waits change nothing; to share the pages among the daemons needs an agreement before there is a group; to serve with the targets of the first page puts all new flows on a fiftieth of the targets. Chosen: the reader splits the keys after the first page into up to eight ranges, one for each 40 ms of latency, and reads them at once. Where the keys divide is the platform's matter (KeySplitter); a bad division costs time, not entries. The first page alone may be stale and gives the list's revision, as before. A failed page does not cancel the others.

--- a/internal/followed/followerconfig.go
+++ b/internal/followed/followerconfig.go
@@ -51,6 +51,8 @@
 	// else; 0 disables it. The default keeps 300 daemons starting at once from occupying a
 	// store's link of 1 Gbit/s for more than 0.16 s; it holds some 250 targets.
 	MaxEarlyTargetsBytes int64
+	// Keys divides a list into ranges of keys. If it is nil, pages are read one after the other.
+	Keys KeySplitter
 	// LinkBytes is the capacity of the daemon's link in bytes per second, 0 if unknown.
 	LinkBytes float64
 	// View configures how long the view retains removed entries.
--- a/internal/followed/hedge.go
+++ b/internal/followed/hedge.go
@@ -27,6 +27,11 @@
 			return call
 		}
 	}
+	for _, r := range f.ranges {
+		if r.call != nil && r.call.Number == number {
+			return r.call
+		}
+	}
 	return nil
 }
 
@@ -59,4 +64,5 @@
 	f.inFlight = nil
 	f.hedged = nil
 	f.targetsWatch.call = nil
+	f.abandonRangeCalls()
 }
--- a/internal/followed/list.go
+++ b/internal/followed/list.go
@@ -19,6 +19,7 @@
 	f.listRevision = 0
 	f.part = partAll
 	f.afterKey = ""
+	f.ranges = nil
 }
 
 // handlePage collects pages. They are not a snapshot: the watch that follows starts at the
@@ -53,9 +54,19 @@
 	}
 	if answer.More && len(answer.Entries) > 0 {
 		f.afterKey = answer.Entries[len(answer.Entries)-1].Key
-		f.nextCallAt = now.Add(f.congestionDelay())
+		delay := f.congestionDelay()
+		f.nextCallAt = now.Add(delay)
+		if delay == 0 && call.MaxBytes == 0 {
+			f.splitList()
+		}
 		return
 	}
+	f.handleListed(now, call, answer, output)
+}
+
+// handleListed merges the pages once the last one of a part has been read.
+func (f *Follower) handleListed(now time.Time, call *Call, answer *Answer, output *Output) {
+	f.nextCallAt = now
 	if f.nextPart() {
 		return
 	}
--- a/internal/followed/listparts.go
+++ b/internal/followed/listparts.go
@@ -69,6 +69,7 @@
 		return false
 	}
 	f.afterKey = ""
+	f.ranges = nil
 	f.part = partRest
 	if len(f.pages) == 0 {
 		// Without an entry there is no revision at which a watch could start.
--- a/internal/simulation/mass_restart_test.go
+++ b/internal/simulation/mass_restart_test.go
@@ -1,6 +1,8 @@
 package simulation
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -38,6 +40,7 @@
 
 func newMassRestart(seed uint64, daemons int) *massRestart {
 	config := followed.FleetConfigFor(8 * time.Second)
+	config.Follower.Keys = targetKeys{}
 	run := newColdStart(seed, daemons, largeTargets, config)
 	run.Store.PageSize = largeTargets / 50
 	run.Links.Store *= float64(daemons) / largestDaemons
@@ -48,6 +51,23 @@
 	return &massRestart{coldStart: run, lost: map[int]bool{}}
 }
 
+// targetKeys divides the keys of largeTargets targets into ranges of equal size.
+type targetKeys struct{}
+
+func (targetKeys) SplitKeys(after string, parts int) []string {
+	var later, split []string
+	for number := range largeTargets {
+		if key := fmt.Sprint("target-", number+1); key > after {
+			later = append(later, key)
+		}
+	}
+	slices.Sort(later)
+	for index := 1; index < parts && len(later) >= parts; index++ {
+		split = append(split, later[index*len(later)/parts])
+	}
+	return split
+}
+
 // killAll kills all daemons and schedules their restart.
 func (r *massRestart) killAll() {
 	for index := range r.Daemons {
