followed: a few starting daemons read a congested store without pauses

Callers: nobody is served after a restart of all while the seeds cannot reach the store.

Ruled out: peers (seeds are up and tell of each other; they have nothing to give); the link alone (a daemon's own list takes 2.2 s of it). Chosen: who draws one of the first sixteenth of the pauses reads on without further ones until a call fails.

TestEarlyReaderCompletesList failed before (no such daemon).

--- a/internal/followed/congestion.go
+++ b/internal/followed/congestion.go
@@ -6,6 +6,11 @@
 	// congestionSpreadFactor is the multiple of the store's last latency over which starting
 	// daemons spread their next requests.
 	congestionSpreadFactor = 8
+	// earlyReaderFraction is the fraction of the spread within which a daemon reads the rest of the
+	// list without further delays. The suppression timer draws so few such delays that these daemons
+	// do not congest the store. Without them no daemon would complete a list of many pages while
+	// the store is unreachable for the seeds.
+	earlyReaderFraction = 16
 	// minCongestedLatency is the latency from which the store counts as congested.
 	minCongestedLatency = 50 * time.Millisecond
 )
@@ -25,10 +30,12 @@
 // a congested store. It prevents a retry storm when many daemons start at once; the few that
 // read early supply the others.
 func (f *Follower) congestionDelay() time.Duration {
-	if !f.avoidsCongestion || f.view.Configuration() != nil || f.storeLatency < minCongestedLatency {
+	if !f.avoidsCongestion || f.readsEarly || f.view.Configuration() != nil || f.storeLatency < minCongestedLatency {
 		return 0
 	}
 	spread := f.config.PagedSpread
 	spread.MaxDelay = min(spread.MaxDelay, congestionSpreadFactor*f.storeLatency)
-	return spread.delay(f.random.Float64())
+	delay := spread.delay(f.random.Float64())
+	f.readsEarly = delay < spread.MaxDelay/earlyReaderFraction
+	return delay
 }
--- a/internal/followed/congestion_test.go
+++ b/internal/followed/congestion_test.go
@@ -1,6 +1,7 @@
 package followed
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -79,3 +80,27 @@
 	}
 	assert.Assert(t, early > 0 && early < daemons/50, "%d", early)
 }
+
+// TestEarlyReaderCompletesList guards against a starting fleet in which every daemon waits before each
+// page of a congested store, so that none completes the list while the store is unreachable for the seeds.
+func TestEarlyReaderCompletesList(t *testing.T) {
+	const daemons = 10_000
+	early := 0
+	for seed := range uint64(daemons) {
+		follower := congestedFollower(300 * time.Millisecond)
+		follower.random = rand.New(rand.NewPCG(seed, 1))
+		follower.congestionDelay()
+		if follower.congestionDelay() == 0 {
+			early++
+		}
+	}
+	assert.Assert(t, early > 0 && early < daemons/500, "%d", early)
+	t.Run("until a call fails", func(t *testing.T) {
+		follower := congestedFollower(300 * time.Millisecond)
+		follower.readsEarly = true
+		assert.Equal(t, follower.congestionDelay(), time.Duration(0))
+		var output Output
+		follower.recordFailure(testStart, OutcomeFailed, "", &output)
+		assert.Assert(t, meanDelay(follower) > 0)
+	})
+}
