followed: a starting daemon asks again for a later page that does not come

Callers: after a restart of all nobody is served for 14 to 20 s while the store loses 30 % of its answers (model). Only the first page of a list was requested again before its timeout of 0.8 s, and in a large group not even that within the time; 50 pages met some 20 lost answers.

Ruled out: backoff (it draws at most 0.8 s and is reset by each page). Later pages are now requested again after 150 ms, whatever the size of the group, as few daemons read them; not from a store that answers late, where a second request adds to the queue.

TestLostPageIsRequestedAgain failed before.

--- a/internal/followed/hedge.go
+++ b/internal/followed/hedge.go
@@ -36,11 +36,17 @@
 }
 
 // shouldHedge reports whether the list in flight has taken so long that it is requested again.
-// Only a daemon without a configuration hedges.
+// Only a daemon without a configuration hedges. Later pages are requested by few daemons, so their
+// delay does not depend on the size of the group.
 func (f *Follower) shouldHedge(now time.Time) bool {
-	isStarting := f.phase == phaseListing && f.isFirstPage() && f.view.Configuration() == nil
-	after := max(f.config.HedgeAfter, f.scaleByMembers(f.config.HedgePerMember), hedgeTransferFactor*f.config.transferTime(f.longListBytes),
-		hedgeLatencyFactor*f.storeLatency)
+	isStarting := f.phase == phaseListing && f.view.Configuration() == nil
+	if !f.isFirstPage() && f.storeLatency >= minCongestedLatency {
+		return false
+	}
+	after := max(f.config.HedgeAfter, hedgeTransferFactor*f.config.transferTime(f.longListBytes), hedgeLatencyFactor*f.storeLatency)
+	if f.isFirstPage() {
+		after = max(after, f.scaleByMembers(f.config.HedgePerMember))
+	}
 	if f.storeLatency > 0 {
 		after <<= len(f.hedged) // a store that answered before is slow rather than unresponsive
 	}
--- a/internal/followed/listranges_test.go
+++ b/internal/followed/listranges_test.go
@@ -191,3 +191,24 @@
 		t.Fatal("the list did not complete")
 	})
 }
+
+// TestLostPageIsRequestedAgain guards against a list of many pages that waits for a full timeout for
+// each lost answer.
+func TestLostPageIsRequestedAgain(t *testing.T) {
+	secondPage := func(latency time.Duration) (*Follower, *Call) {
+		follower := newTestFollower()
+		follower.memberCount = 1000
+		first := answered(follower.Tick(testStart).Call, 20, targetEntry("a", 18))
+		first.More, first.TimeToFirstByte = true, latency
+		return follower, follower.Step(testStart, first).Call
+	}
+	t.Run("soon, whatever the size of the group", func(t *testing.T) {
+		follower, call := secondPage(4 * time.Millisecond)
+		again := follower.Tick(testStart.Add(DefaultConfig().HedgeAfter)).Call
+		assert.Assert(t, again != nil && again.AfterKey == call.AfterKey)
+	})
+	t.Run("only after the timeout if the store is slow", func(t *testing.T) {
+		follower, call := secondPage(minCongestedLatency)
+		assert.Assert(t, follower.Tick(testStart.Add(call.Timeout)).Call == nil)
+	})
+}
