followed: targets of ranges are known page by page, as of a list in order

In ranges they were merged once all were read. The new subtest of TestListRanges failed before (5 targets known instead of 10).

--- a/internal/followed/list.go
+++ b/internal/followed/list.go
@@ -50,7 +50,7 @@
 		return
 	}
 	if f.part == partTargets {
-		f.handleTargets(now, answer, output)
+		f.handleTargets(now, answer.Entries, answer, output)
 	}
 	if answer.More && len(answer.Entries) > 0 {
 		f.afterKey = answer.Entries[len(answer.Entries)-1].Key
--- a/internal/followed/listparts.go
+++ b/internal/followed/listparts.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/passtray/passtray/internal/storeview"
 )
 
 // part is the part of the store's content that a list page belongs to.
@@ -56,11 +58,11 @@
 	}
 }
 
-// handleTargets merges a page of targets without waiting for the rest of the list. It neither
-// removes entries nor advances the revision; only the complete list does.
-func (f *Follower) handleTargets(now time.Time, answer *Answer, output *Output) {
-	f.emitChange(f.view.Merge(now, answer.Entries), output)
-	output.Events = append(output.Events, Event{EventTargetsListed, listSummary(len(answer.Entries), answer)})
+// handleTargets merges the entries of a page of targets without waiting for the rest of the list. It
+// neither removes entries nor advances the revision; only the complete list does.
+func (f *Follower) handleTargets(now time.Time, entries []storeview.Entry, answer *Answer, output *Output) {
+	f.emitChange(f.view.Merge(now, entries), output)
+	output.Events = append(output.Events, Event{EventTargetsListed, listSummary(len(entries), answer)})
 }
 
 // nextPart advances to the next part of the list and reports false if there is none.
--- a/internal/followed/listranges.go
+++ b/internal/followed/listranges.go
@@ -103,7 +103,11 @@
 	}
 	r.call = nil
 	f.recordSuccess(CallList, output)
-	f.pages = append(f.pages, r.take(answer)...)
+	entries := r.take(answer)
+	f.pages = append(f.pages, entries...)
+	if f.part == partTargets {
+		f.handleTargets(now, entries, answer, output)
+	}
 	if !slices.ContainsFunc(f.ranges, func(r *listRange) bool { return !r.complete }) {
 		f.handleListed(now, call, answer, output)
 	}
--- a/internal/followed/listranges_test.go
+++ b/internal/followed/listranges_test.go
@@ -133,6 +133,15 @@
 		again := follower.Step(testStart, page).Call
 		assert.Assert(t, again.AfterKey == "" && !again.AllowStale)
 	})
+	t.Run("targets that are listed first are known before the list is complete", func(t *testing.T) {
+		follower := newRangeFollower()
+		follower.config.LinkBytes = 10 * megabit
+		targets := &pagedStore{entries: store.entries[1:], pageSize: store.pageSize}
+		calls := startRanges(targets, follower, slowStoreLatency)
+		assert.Assert(t, calls[0].TargetsOnly && calls[1].TargetsOnly)
+		follower.Step(testStart, targets.page(calls[1], slowStoreLatency))
+		assert.Equal(t, follower.View().PresentTargetCount(), 2*store.pageSize)
+	})
 	t.Run("a snapshot from a peer replaces the list", func(t *testing.T) {
 		follower := newRangeFollower()
 		calls := startRanges(store, follower, slowStoreLatency)
