--- a/internal/followed/listranges.go
+++ b/internal/followed/listranges.go
@@ -84,8 +84,8 @@
 	return nil
 }
 
-// handleRangeAnswer handles the answer to a page of a range. If there is no page, no range starts
-// another one before a backoff.
+// handleRangeAnswer handles the answer to a page of a range. After a failed call no range requests
+// another page before a backoff; calls in flight go on.
 func (f *Follower) handleRangeAnswer(now time.Time, r *listRange, answer *Answer, output *Output) {
 	call := r.call
 	f.recordLatency(call, answer)
