followed: a list is split after five late pages, and its ranges fail one by one

A seed's ranges had failed with `dial tcp: i/o timeout` while the fleet's first calls filled the store's link, and one failure stopped all ranges for a backoff.

--- a/internal/followed/congestion_test.go
+++ b/internal/followed/congestion_test.go
@@ -100,7 +100,7 @@
 		follower.readsEarly = true
 		assert.Equal(t, follower.congestionDelay(), time.Duration(0))
 		var output Output
-		follower.recordFailure(testStart, OutcomeFailed, "", &output)
+		follower.recordFailure(OutcomeFailed, "", &output)
 		assert.Assert(t, meanDelay(follower) > 0)
 	})
 }
--- a/internal/followed/list.go
+++ b/internal/followed/list.go
@@ -19,6 +19,7 @@
 	f.listRevision = 0
 	f.part = partAll
 	f.afterKey = ""
+	f.latePages = 0
 	f.ranges = nil
 }
 
@@ -56,6 +57,7 @@
 		f.afterKey = answer.Entries[len(answer.Entries)-1].Key
 		delay := f.congestionDelay()
 		f.nextCallAt = now.Add(delay)
+		f.recordPageLatency()
 		if delay == 0 && call.MaxBytes == 0 {
 			f.splitList()
 		}
--- a/internal/followed/listranges.go
+++ b/internal/followed/listranges.go
@@ -14,6 +14,10 @@
 	// the time that a page takes on a slow link. With less, the link or the processor is the
 	// bottleneck, and each further range may cost a page that overlaps the next one.
 	latencyPerRange = 40 * time.Millisecond
+	// minLatePages is the number of consecutive pages with high latency after which a list is split.
+	// Only a slow store delays so many; when a fleet starts at once, its calls delay the first few,
+	// and further connections would not be established.
+	minLatePages = 5
 )
 
 // KeySplitter divides the keys of a store.
@@ -31,19 +35,29 @@
 	// has no end.
 	afterKey, lastKey string
 	// call is the call in flight, nil if there is none; sentAt is when it was sent.
-	call     *Call
-	sentAt   time.Time
-	complete bool
+	call   *Call
+	sentAt time.Time
+	// nextCallAt is when the next page may be requested after a failed call.
+	nextCallAt time.Time
+	complete   bool
 }
 
-// splitList splits the rest of a list with several pages into ranges if the store's latency
-// justifies it. Only later pages are read in ranges, since the first one determines the revision
-// of the list.
+// recordPageLatency records the latency of a page, after which another one follows.
+func (f *Follower) recordPageLatency() {
+	if f.storeLatency < 2*latencyPerRange {
+		f.latePages = 0
+		return
+	}
+	f.latePages++
+}
+
+// splitList splits the rest of a list into ranges if the store's latency justifies it. Only later
+// pages are read in ranges, since the first one determines the revision of the list.
 func (f *Follower) splitList() {
-	count := min(int(f.storeLatency/latencyPerRange), maxListRanges)
-	if f.config.Keys == nil || count < 2 {
+	if f.config.Keys == nil || f.latePages < minLatePages {
 		return
 	}
+	count := min(int(f.storeLatency/latencyPerRange), maxListRanges)
 	afterKey := f.afterKey
 	for _, key := range f.config.Keys.SplitKeys(afterKey, count) {
 		if key <= afterKey {
@@ -60,7 +74,7 @@
 // startRange starts the next page of a range without a call in flight, if there is one.
 func (f *Follower) startRange(now time.Time, output *Output) {
 	for _, r := range f.ranges {
-		if r.call != nil || r.complete {
+		if r.call != nil || r.complete || now.Before(r.nextCallAt) {
 			continue
 		}
 		r.call = f.newCall()
@@ -84,14 +98,15 @@
 	return nil
 }
 
-// handleRangeAnswer handles the answer to a page of a range. After a failed call no range requests
-// another page before a backoff; calls in flight go on.
+// handleRangeAnswer handles the answer to a page of a range. A failed page is requested again after a
+// backoff; the other ranges go on.
 func (f *Follower) handleRangeAnswer(now time.Time, r *listRange, answer *Answer, output *Output) {
 	call := r.call
 	f.recordLatency(call, answer)
 	if answer.Outcome != OutcomeAnswered || f.isFromEarlierEpoch(answer) {
 		r.call = nil
-		f.recordFailure(now, answer.Outcome, answer.Detail, output)
+		f.recordFailure(answer.Outcome, answer.Detail, output)
+		r.nextCallAt = now.Add(f.jitter(f.backoff(now)))
 		return
 	}
 	if answer.Epoch != f.listEpoch {
--- a/internal/followed/listranges_test.go
+++ b/internal/followed/listranges_test.go
@@ -64,11 +64,15 @@
 	assert.Assert(t, next != nil && next.Kind == CallWatch, "%+v", next)
 }
 
-// startRanges lists the first page of a store and returns the calls that follow without an answer.
+// startRanges lists the pages of a store that are read one after the other at first, and returns the
+// calls that follow without an answer.
 func startRanges(store *pagedStore, follower *Follower, latency time.Duration) []*Call {
-	first := follower.Tick(testStart).Call
+	call := follower.Tick(testStart).Call
+	for range minLatePages {
+		call = follower.Step(testStart, store.page(call, latency)).Call
+	}
 	var calls []*Call
-	for call := follower.Step(testStart, store.page(first, latency)).Call; call != nil; call = follower.Tick(testStart).Call {
+	for ; call != nil; call = follower.Tick(testStart).Call {
 		calls = append(calls, call)
 	}
 	return calls
@@ -92,6 +96,15 @@
 			assert.Assert(t, !call.AllowStale, "only the first page may be stale")
 		}
 	})
+	t.Run("pages of a store that is late for a short time are read one after the other", func(t *testing.T) {
+		follower := newRangeFollower()
+		call := follower.Tick(testStart).Call
+		for range minLatePages - 1 {
+			call = follower.Step(testStart, store.page(call, slowStoreLatency)).Call
+		}
+		assert.Assert(t, follower.Step(testStart, store.page(call, time.Millisecond)).Call != nil)
+		assert.Assert(t, follower.Tick(testStart).Call == nil)
+	})
 	t.Run("keys that cannot be divided are read one after the other", func(t *testing.T) {
 		follower := newRangeFollower()
 		follower.config.Keys = splitterFunc(func(string, int) []string { return nil })
@@ -111,11 +124,12 @@
 		store.assertComplete(t, follower, next)
 		assert.Equal(t, next.AfterRevision, uint64(13))
 	})
-	t.Run("a failed page is read again after a backoff, while others are in flight", func(t *testing.T) {
+	t.Run("a failed page is read again after a backoff, while the other ranges go on", func(t *testing.T) {
 		follower := newRangeFollower()
 		calls := startRanges(store, follower, slowStoreLatency)
 		assert.Assert(t, follower.Step(testStart, answerWithOutcome(calls[1], OutcomeUnavailable)).Call == nil)
-		assert.Assert(t, follower.IsPending(calls[2].Number))
+		next := follower.Step(testStart, store.page(calls[0], slowStoreLatency)).Call
+		assert.Assert(t, next.AfterKey > calls[0].AfterKey && next.AfterKey < calls[1].AfterKey)
 		again := follower.Tick(testStart.Add(DefaultConfig().MaxBackoff)).Call
 		assert.Equal(t, again.AfterKey, calls[1].AfterKey)
 	})
@@ -140,7 +154,7 @@
 		calls := startRanges(targets, follower, slowStoreLatency)
 		assert.Assert(t, calls[0].TargetsOnly && calls[1].TargetsOnly)
 		follower.Step(testStart, targets.page(calls[1], slowStoreLatency))
-		assert.Equal(t, follower.View().PresentTargetCount(), 2*store.pageSize)
+		assert.Equal(t, follower.View().PresentTargetCount(), (minLatePages+1)*store.pageSize)
 	})
 	t.Run("a snapshot from a peer replaces the list", func(t *testing.T) {
 		follower := newRangeFollower()
