--- a/internal/followed/congestion.go
+++ b/internal/followed/congestion.go
@@ -28,7 +28,7 @@
 
 // congestionDelay draws the time for which a daemon without a configuration sends no request to
 // a congested store. It prevents a retry storm when many daemons start at once; the few that
-// read early supply the others.
+// read early supply the others: a daemon that draws a short delay becomes one of them.
 func (f *Follower) congestionDelay() time.Duration {
 	if !f.avoidsCongestion || f.readsEarly || f.view.Configuration() != nil || f.storeLatency < minCongestedLatency {
 		return 0
--- a/internal/followed/hedge.go
+++ b/internal/followed/hedge.go
@@ -37,7 +37,8 @@
 
 // shouldHedge reports whether the list in flight has taken so long that it is requested again.
 // Only a daemon without a configuration hedges. Later pages are requested by few daemons, so their
-// delay does not depend on the size of the group.
+// delay does not depend on the size of the group; a store that answers late is not asked for them
+// again, which would delay it further.
 func (f *Follower) shouldHedge(now time.Time) bool {
 	isStarting := f.phase == phaseListing && f.view.Configuration() == nil
 	if !f.isFirstPage() && f.storeLatency >= minCongestedLatency {
