followed: a daemon without peers serves new flows from a part of the store's content

Cause, from evidence: no daemon knows a peer, so each needs the whole content, and two things keep it from that. 1. The pause before each page is drawn for a group in which others supply the rest. The log lines on incomplete lists show it: at 46 s all 29 daemons hold 2,500 to 4,000 of 10,000 entries and wait up to 3.1 s before the next page, although the store begins its answers after 0.26 to 0.47 s. Bytes are not the cause there. 2. In a large fleet whole lists exceed the store's link, whatever the schedule.

Ruled out: another pause or number of early readers (2 remains); fewer bytes alone.

Change: a daemon that has no content 1 s after its start, and hears no peer, reads the configuration and orders first, then targets after a key of its own, page by page, and serves from what it has. Each page is merged at once; only the whole list removes what it lacks, sets the revision and may be passed on. The pages' pace is a multiple of the store's latency, so that the load on it does not grow with the number of daemons. A watch from the first page's revision runs beside the list: drains, removals and versions are in force at once, and a list may last longer than the store's history. With peers the same begins after 2 to 4 s; the designated reader then reads on without pauses for the others. A part is not ready while no packets arrive, for up to 3 s: a zone of daemons that know the whole is left to them.

--- a/internal/followed/backoff.go
+++ b/internal/followed/backoff.go
@@ -11,7 +11,7 @@
 	if f.failures == 1 && wasAnswered {
 		return minPause
 	}
-	if f.view.Configuration() != nil {
+	if f.isComplete() {
 		groupPause := time.Duration(f.memberCount) * f.config.BackoffPerMember
 		minPause, maxPause = max(minPause, groupPause), max(maxPause, groupPause)
 	}
--- a/internal/followed/congestion.go
+++ b/internal/followed/congestion.go
@@ -30,10 +30,14 @@
 // a congested store. It prevents a retry storm when many daemons start at once; the few that
 // read early supply the others: a daemon that draws a short delay becomes one of them.
 func (f *Follower) congestionDelay() time.Duration {
-	if !f.avoidsCongestion || f.readsEarly || f.view.Configuration() != nil || f.storeLatency < minCongestedLatency {
+	isPaced := f.incremental != nil && f.memberCount <= 1
+	if !f.avoidsCongestion || f.readsEarly || f.isComplete() || isPaced || f.storeLatency < minCongestedLatency {
 		return 0
 	}
 	spread := f.config.PagedSpread
+	if f.incremental != nil {
+		spread.GroupSize = float64(f.memberCount) // the members are known by now
+	}
 	spread.MaxDelay = min(spread.MaxDelay, congestionSpreadFactor*f.storeLatency)
 	delay := spread.delay(f.random.Float64())
 	f.readsEarly = delay < spread.MaxDelay/earlyReaderFraction
--- a/internal/followed/hedge.go
+++ b/internal/followed/hedge.go
@@ -22,6 +22,9 @@
 	if f.targetsWatch.call != nil && f.targetsWatch.call.Number == number {
 		return f.targetsWatch.call
 	}
+	if f.listWatch.call != nil && f.listWatch.call.Number == number {
+		return f.listWatch.call
+	}
 	for _, call := range f.hedged {
 		if call.Number == number {
 			return call
@@ -40,7 +43,7 @@
 // delay does not depend on the size of the group; a store that answers late is not asked for them
 // again, which would delay it further.
 func (f *Follower) shouldHedge(now time.Time) bool {
-	isStarting := f.phase == phaseListing && f.view.Configuration() == nil
+	isStarting := f.phase == phaseListing && !f.isComplete()
 	if !f.isFirstPage() && f.storeLatency >= minCongestedLatency {
 		return false
 	}
@@ -71,5 +74,6 @@
 	f.inFlight = nil
 	f.hedged = nil
 	f.targetsWatch.call = nil
+	f.listWatch.call = nil
 	f.abandonRangeCalls()
 }
--- a/internal/followed/list.go
+++ b/internal/followed/list.go
@@ -46,11 +46,14 @@
 	f.pages = append(f.pages, answer.Entries...)
 	f.pagesBytes += answer.Bytes
 	f.nextCallAt = now
+	f.isContentLarge = f.isContentLarge || answer.More
 	if call.MaxBytes > 0 && answer.More && f.pagesBytes >= call.MaxBytes {
 		f.deferToPeers(now, output)
 		return
 	}
-	if f.part == partTargets {
+	if f.incremental != nil {
+		f.mergePage(now, answer.Entries, output)
+	} else if f.part == partTargets {
 		f.handleTargets(now, answer.Entries, answer, output)
 	}
 	if answer.More && len(answer.Entries) > 0 {
@@ -69,7 +72,7 @@
 // handleListed merges the pages once the last one of a part has been read.
 func (f *Follower) handleListed(now time.Time, call *Call, answer *Answer, output *Output) {
 	f.nextCallAt = now
-	if f.nextPart() {
+	if f.nextPart(now) {
 		return
 	}
 	if f.isFromLaterEpoch(answer) {
@@ -77,6 +80,11 @@
 	}
 	change := f.view.MergeSnapshot(now, f.pages, f.listRevision)
 	f.emitChange(change, output)
+	if f.incremental != nil {
+		f.view.AdvanceTo(f.listWatch.revision)
+		f.incremental = nil
+		f.listWatch.call = nil
+	}
 	output.Events = append(output.Events, Event{EventListed, f.listDetail(call, answer)})
 	f.resetPages()
 	f.phase = phaseConfirming
--- a/internal/followed/listparts.go
+++ b/internal/followed/listparts.go
@@ -29,8 +29,11 @@
 // content and canceling it would cost as much bandwidth: what is in flight by then occupies a
 // link of 10 Mbit/s for some 60 ms.
 func (f *Follower) firstPart() part {
+	if f.incremental != nil {
+		return partRest
+	}
 	isSlow := f.config.MaxEarlyTargetsBytes > 0 && f.config.transferTime(f.config.MaxEarlyTargetsBytes) >= minSplitTransfer
-	if isSlow && f.view.Configuration() == nil && !f.isSplitDisabled {
+	if isSlow && !f.isComplete() && !f.isSplitDisabled {
 		return partTargets
 	}
 	return partAll
@@ -44,18 +47,18 @@
 		f.part = f.firstPart()
 	}
 	call.Kind = CallList
-	call.AllowStale = !f.needsConsistentList && len(f.pages) == 0
+	call.AllowStale = !f.needsConsistentList && len(f.pages) == 0 && f.incremental == nil
 	call.Timeout = f.growTimeout(f.config.ListTimeout)
 	call.AfterKey = f.afterKey
-	if f.view.Configuration() == nil {
-		call.MaxBytes = f.maxListBytes
-	}
-	switch f.part {
-	case partTargets:
-		call.TargetsOnly = true
+	call.TargetsOnly = f.part == partTargets
+	call.WithoutTargets = f.part == partRest
+	switch {
+	case f.incremental != nil:
+		call.Timeout = max(call.Timeout, f.latencyTimeout())
+	case f.part == partTargets:
 		call.MaxBytes = min(f.maxListBytes, f.config.MaxEarlyTargetsBytes)
-	case partRest:
-		call.WithoutTargets = true
+	case f.view.Configuration() == nil:
+		call.MaxBytes = f.maxListBytes
 	}
 }
 
@@ -67,7 +70,14 @@
 }
 
 // nextPart advances to the next part of the list and reports false if there is none.
-func (f *Follower) nextPart() bool {
+func (f *Follower) nextPart(now time.Time) bool {
+	if f.incremental != nil && f.part == partRest {
+		f.startTargetRanges(now)
+		return true
+	}
+	if f.incremental != nil {
+		return false
+	}
 	if f.part != partTargets {
 		return false
 	}
@@ -94,6 +104,7 @@
 		f.nextCallAt = now
 		return
 	}
+	f.isContentLarge = true
 	f.maxListBytes = 0
 	f.longListBytes = answer.Bytes
 	if f.part == partTargets {
--- a/internal/followed/listranges.go
+++ b/internal/followed/listranges.go
@@ -25,6 +25,9 @@
 	// SplitKeys returns at most parts-1 keys in ascending order that divide the keys after a key
 	// into ranges of about equal size. Ranges of unequal size are as correct, but take longer.
 	SplitKeys(after string, parts int) []string
+	// KeyAt returns a key before which about the given fraction of the targets lie. A key at
+	// another place is as correct.
+	KeyAt(fraction float64) string
 }
 
 // listRange is a range of keys whose pages are read one after the other. Several ranges are read
@@ -57,9 +60,8 @@
 	if f.config.Keys == nil || f.latePages < minLatePages {
 		return
 	}
-	count := min(int(f.storeLatency/latencyPerRange), maxListRanges)
 	afterKey := f.afterKey
-	for _, key := range f.config.Keys.SplitKeys(afterKey, count) {
+	for _, key := range f.config.Keys.SplitKeys(afterKey, f.rangeCount()) {
 		if key <= afterKey {
 			continue
 		}
@@ -71,8 +73,16 @@
 	}
 }
 
+// rangeCount returns the number of concurrent ranges that the store's latency justifies.
+func (f *Follower) rangeCount() int {
+	return min(int(f.storeLatency/latencyPerRange), maxListRanges)
+}
+
 // startRange starts the next page of a range without a call in flight, if there is one.
 func (f *Follower) startRange(now time.Time, output *Output) {
+	if f.incremental != nil && !f.mayStartPage(now) {
+		return
+	}
 	for _, r := range f.ranges {
 		if r.call != nil || r.complete || now.Before(r.nextCallAt) {
 			continue
@@ -120,7 +130,10 @@
 	f.recordSuccess(CallList, output)
 	entries := r.take(answer)
 	f.pages = append(f.pages, entries...)
-	if f.part == partTargets {
+	if f.incremental != nil {
+		f.mergePage(now, entries, output)
+		f.splitRange(r)
+	} else if f.part == partTargets {
 		f.handleTargets(now, entries, answer, output)
 	}
 	if !slices.ContainsFunc(f.ranges, func(r *listRange) bool { return !r.complete }) {
--- a/internal/followed/listranges_test.go
+++ b/internal/followed/listranges_test.go
@@ -33,6 +33,10 @@
 
 func (s splitterFunc) SplitKeys(after string, parts int) []string { return s(after, parts) }
 
+func (s splitterFunc) KeyAt(fraction float64) string {
+	return fmt.Sprintf("target-%03d", int(100*fraction))
+}
+
 // splitTargets divides the keys of a pagedStore with 100 targets.
 func splitTargets(after string, parts int) []string {
 	var number int
--- a/internal/simulation/mass_restart_test.go
+++ b/internal/simulation/mass_restart_test.go
@@ -68,6 +68,11 @@
 	return split
 }
 
+func (targetKeys) KeyAt(fraction float64) string {
+	keys := targetKeys{}.SplitKeys("", largeTargets)
+	return keys[min(int(fraction*float64(len(keys))), len(keys)-1)]
+}
+
 // killAll kills all daemons and schedules their restart.
 func (r *massRestart) killAll() {
 	for index := range r.Daemons {
