--- a/internal/followed/incrementallist.go
+++ b/internal/followed/incrementallist.go
@@ -55,8 +55,14 @@
 		return false
 	}
 	isReadingForPeers := f.memberCount > 1 && f.readsEarly
+	if !f.avoidsCongestion || isReadingForPeers || now.Before(f.incrementalFrom) {
+		return false
+	}
+	if f.memberCount <= 1 && f.storeLatency == 0 {
+		return true // the first answer may be late because it is large
+	}
 	isBusy := f.inFlight != nil || len(f.ranges) > 0
-	return f.avoidsCongestion && f.isContentLarge && !isReadingForPeers && !isBusy && !now.Before(f.incrementalFrom)
+	return f.isContentLarge && !isBusy
 }
 
 // isReadingForPeers reports whether this daemon is the one, or one of the few, that read a congested
@@ -76,6 +82,7 @@
 
 // startIncrementalList replaces the list in progress by an incremental one.
 func (f *Follower) startIncrementalList(now time.Time) {
+	f.abandonCalls()
 	f.resetPages()
 	f.incremental = &incrementalList{startKey: f.config.Keys.KeyAt(f.random.Float64())}
 	f.nextCallAt = now
--- a/internal/followed/incrementallist_test.go
+++ b/internal/followed/incrementallist_test.go
@@ -221,6 +221,19 @@
 	assert.Equal(t, page.AfterKey, run.incremental.startKey)
 }
 
+// If many daemons start at once, none may ever get the answer that says how large the content is.
+func TestIncrementalListBeginsWithoutAnyAnswer(t *testing.T) {
+	run := newIncrementalRun(1)
+	run.isContentLarge, run.incrementalFrom = false, testStart.Add(time.Second)
+	run.tick(0)
+	assert.Assert(t, !run.store.calls[0].WithoutTargets)
+	run.tick(990 * time.Millisecond)
+	assert.Assert(t, run.incremental == nil)
+	run.tick(20 * time.Millisecond)
+	assert.Equal(t, len(run.store.calls), 1, "the other calls are abandoned")
+	assert.Assert(t, run.store.calls[0].WithoutTargets)
+}
+
 // Each daemon begins at a key of its own: flows of all daemons would otherwise go to the targets of
 // one page.
 func TestIncrementalListsBeginAtDifferentTargets(t *testing.T) {
--- a/internal/simulation/seedless_test.go
+++ b/internal/simulation/seedless_test.go
@@ -18,11 +18,11 @@
 
 const (
 	seedlessDaemons = 100
-	// seedlessTargets in pages of seedlessPage targets, each of seedlessTargetBytes, are the content
-	// of the largest fleet. A page has 108 KB.
-	seedlessTargets     = 10_000
-	seedlessPage        = 500
-	seedlessTargetBytes = 216
+	// seedlessTargets targets in seedlessPages pages of seedlessPageBytes are the content of the
+	// largest fleet. Models with fewer targets have as many pages of the same size.
+	seedlessTargets   = 10_000
+	seedlessPages     = 20
+	seedlessPageBytes = 108_000
 	// seedlessBound is the time within which a change must be active on all daemons.
 	seedlessBound = 8 * time.Second
 	// servingCheckInterval is how often it is checked which daemons serve new flows.
@@ -41,6 +41,8 @@
 	// servesAfter is the time from the restart until each daemon could serve a new flow of each
 	// service by its own decision; 0 before.
 	servesAfter []time.Duration
+	// targets is the number of targets.
+	targets int
 	// removed are the keys of targets that were removed from the store.
 	removed map[string]bool
 	// falseRemovals counts targets that a daemon took for removed although the store has them.
@@ -66,11 +68,11 @@
 	return fmt.Sprintf("target-%04x", int(fraction*(1<<16)))
 }
 
-func seedlessKey(number int) string {
-	return fmt.Sprintf("target-%04x", number*(1<<16)/seedlessTargets)
+func (r *seedlessRun) key(number int) string {
+	return fmt.Sprintf("target-%04x", number*(1<<16)/r.targets)
 }
 
-func newSeedlessRun(seed uint64, daemons int) *seedlessRun {
+func newSeedlessRun(seed uint64, daemons, targets int) *seedlessRun {
 	config := followed.FleetConfigFor(seedlessBound)
 	config.Follower.Keys = seedlessKeys{}
 	fleet := NewFollowedFleet(seed, daemons, testZones, config, DefaultNetworkConfig())
@@ -78,15 +80,17 @@
 		massRestart: &massRestart{coldStart: &coldStart{followedRun: newFollowedRun(seed, fleet)}, lost: map[int]bool{}},
 		servesAfter: make([]time.Duration, daemons),
 		removed:     map[string]bool{},
+		targets:     targets,
 	}
 	run.convergence = seedlessBound
 	run.Links = NewLinks()
 	run.Links.Store *= float64(daemons) / largestDaemons
-	run.Links.TargetBytes, run.Links.SnapshotBytes, run.Links.ConfigurationBytes = seedlessTargetBytes, 300<<10, 20<<10
-	run.Store.Links, run.Store.PageSize = run.Links, seedlessPage
+	run.Links.TargetBytes = seedlessPageBytes * seedlessPages / int64(targets)
+	run.Links.SnapshotBytes, run.Links.ConfigurationBytes, run.Links.AbortedBytes = 300<<10, 20<<10, 16<<10
+	run.Store.Links, run.Store.PageSize = run.Links, targets/seedlessPages
 	run.fixedRoutes, run.services = seedlessRoutes, []storeview.Service{{Name: "roster"}, {Name: "ledger"}}
 	run.configure()
-	for number := range seedlessTargets {
+	for number := range targets {
 		run.putTarget(number, false)
 	}
 	run.OnChange = run.checkRemovals
@@ -100,15 +104,15 @@
 	if number%5 == 0 {
 		service = "ledger"
 	}
-	r.Store.Put(storeview.Entry{Key: seedlessKey(number), Target: &storeview.Target{
+	r.Store.Put(storeview.Entry{Key: r.key(number), Target: &storeview.Target{
 		Identifier: uint64(number + 1), Service: service, Zone: testZones[number%len(testZones)], Slots: 2, Draining: isDraining,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, byte(number >> 8), byte(number)}), 80),
 	}})
 }
 
 func (r *seedlessRun) removeTarget(number int) {
-	r.removed[seedlessKey(number)] = true
-	r.Store.Put(storeview.Entry{Key: seedlessKey(number)})
+	r.removed[r.key(number)] = true
+	r.Store.Put(storeview.Entry{Key: r.key(number)})
 }
 
 // checkRemovals counts targets that a daemon takes for removed although the store has them.
@@ -194,8 +198,7 @@
 // checks that what they know of it is in force everywhere in time.
 func (r *seedlessRun) assertChangesReachParts(t *testing.T) {
 	t.Helper()
-	const changed = 400
-	drained := r.random.Perm(seedlessTargets)[:changed]
+	drained := r.random.Perm(r.targets)[:r.targets/25]
 	for index, number := range drained {
 		if index%2 == 0 {
 			r.putTarget(number, true)
@@ -213,7 +216,7 @@
 		assert.Assert(t, view.Configuration() != nil, "daemon %d has no configuration", index)
 		assert.Assert(t, r.holdsRoutes(view), "daemon %d has version %d, not %d", index, view.Configuration().Version, r.version)
 		for _, number := range drained {
-			target := view.Target(seedlessKey(number))
+			target := view.Target(r.key(number))
 			assert.Assert(t, target == nil || target.State() != storeview.StateOpen, "daemon %d still uses target %d", index, number)
 		}
 	}
@@ -258,7 +261,7 @@
 		t.Skip("minutes under the race detector; a seeded model has no races")
 	}
 	t.Parallel()
-	run := newSeedlessRun(1, seedlessDaemons)
+	run := newSeedlessRun(1, seedlessDaemons, seedlessTargets)
 	run.restartWithoutSeeds((*massRestart).killAll)
 	run.Clock.Advance(5 * time.Second)
 	for _, daemon := range run.Daemons {
@@ -279,7 +282,7 @@
 	}
 	t.Parallel()
 	const firstJoiner = seedlessDaemons - 5
-	run := newSeedlessRun(1, seedlessDaemons)
+	run := newSeedlessRun(1, seedlessDaemons, seedlessTargets)
 	for index := range firstJoiner {
 		run.Start(index)
 	}
@@ -334,7 +337,7 @@
 		for seed := range seedCount(2) {
 			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
 				t.Parallel()
-				run := newSeedlessRun(seed, seedlessDaemons)
+				run := newSeedlessRun(seed, seedlessDaemons, seedlessTargets)
 				run.restartWithoutSeeds(massRestarts[name])
 				outage := run.recoverFrom.Sub(run.startedAt)
 				run.advance(run.recoverFrom.Add(4 * time.Second).Sub(run.Clock.Now()))
@@ -358,3 +361,38 @@
 		}
 	}
 }
+
+// flowLifetime is how long a flow lives at most. After that no daemon has packets of a flow that was
+// open before the restart.
+const flowLifetime = time.Minute
+
+// TestSeedlessFleetCompletesItsLists guards against daemons without peers that keep a part of the
+// content for good, or call the store ever more often: all have the whole content within the
+// lifetime of a flow.
+func TestSeedlessFleetCompletesItsLists(t *testing.T) {
+	if testing.Short() {
+		t.Skip("minutes under the race detector; a seeded model has no races")
+	}
+	t.Parallel()
+	run := newSeedlessRun(1, *fleetSize, 1000)
+	run.Links.Store *= largestDaemons / float64(*fleetSize) // the store's whole link
+	run.restartWithoutSeeds((*massRestart).killAll)
+	returned := *fleetSize - len(run.Seeds)
+	calls := run.Store.Calls
+	for run.completeCount() < returned && run.Clock.Now().Sub(run.startedAt) < flowLifetime {
+		run.advance(time.Second)
+	}
+	completeAfter, listCalls := run.Clock.Now().Sub(run.startedAt), run.Store.Calls-calls
+	calls = run.Store.Calls
+	const idle = 10
+	for range idle * 10 { // 30 changes a second
+		for range 3 {
+			run.putTarget(run.random.IntN(run.targets), false)
+		}
+		run.Clock.Advance(100 * time.Millisecond)
+	}
+	t.Logf("%d daemons: first serve %s half %s all %s, %d of %d complete after %s and %d calls; then %d calls/s", *fleetSize,
+		run.servingAfter(0), run.servingAfter(0.5), run.servingAfter(1), run.completeCount(), returned, completeAfter, listCalls, (run.Store.Calls-calls)/idle)
+	assert.Equal(t, run.completeCount(), returned)
+	assert.Equal(t, run.falseRemovals, 0)
+}
