storeview, token: the order of targets at an address does not come from their latest writes

What callers saw: all open flows of a live target were reset at once, requests that ran on them were never answered.

Cause: of two targets at an address the one with the later revision counted as the one that runs. A write that the store applies late raises the revision of an ended target, and so do renewals in slow start and a restored store. Evidence: 26 resets within 70 ms at six daemons right after the late write, none preceded by a verdict. Ruled out: the failure detector (no verdict logged), the restart of a daemon (daemons that were not restarted reset as well).

Change: storeview.Start holds the earliest known revision of an incarnation, whether that is its first write (Seq 1 at the item's creation) and when no delayed first write can follow any more. Peers send it. A target started after another one if its `born` is higher, or if its first write is later than the earliest revision of the other one, known for 6 s. If neither is known, no flow is reset until responses at the address, 0.5 s of unanswered requests, or an expiry show it. Why this works: a delayed write cannot change the earliest revision, and one that is the first to be seen is not a first write, or comes too soon after the other target's to count.

Tests: TestDelayedWriteOfEndedTargetResetsNoFlow (all five cases), TestRestartedDaemonResetsNoFlow and TestEndedTargetIsSupersededAfterExpiry failed on the code before (on a scratch copy, without the sequence numbers that it does not know).

--- a/internal/followed/epoch.go
+++ b/internal/followed/epoch.go
@@ -16,8 +16,12 @@
 	stamped.Revision = storeview.NewRevision(a.Epoch, a.Revision)
 	stamped.Entries = make([]storeview.Entry, len(a.Entries))
 	for index := range a.Entries {
-		stamped.Entries[index] = a.Entries[index]
-		stamped.Entries[index].Revision = storeview.NewRevision(a.Epoch, a.Entries[index].Revision)
+		entry := a.Entries[index]
+		entry.Revision = storeview.NewRevision(a.Epoch, entry.Revision)
+		if entry.Created > 0 {
+			entry.Created = storeview.NewRevision(a.Epoch, entry.Created)
+		}
+		stamped.Entries[index] = entry
 	}
 	return &stamped
 }
--- a/internal/lab/environment/history.go
+++ b/internal/lab/environment/history.go
@@ -35,10 +35,26 @@
 func (h *History) Write(entry storeview.Entry, at time.Time) uint64 {
 	h.revision++
 	entry.Revision = h.revision
+	entry.Created = h.createdAt(&entry)
 	h.changes = append(h.changes, change{entry: entry, at: at})
 	return h.revision
 }
 
+// createdAt returns the revision at which the item of an entry was created, 0 for a removal.
+func (h *History) createdAt(entry *storeview.Entry) uint64 {
+	if entry.IsRemoval() {
+		return 0
+	}
+	for index := len(h.changes) - 1; index >= 0; index-- {
+		if previous := &h.changes[index].entry; previous.Key == entry.Key && !previous.IsRemoval() {
+			return previous.Created
+		} else if previous.Key == entry.Key {
+			break
+		}
+	}
+	return entry.Revision
+}
+
 // ChangesAfter returns the changes after a revision, in order.
 func (h *History) ChangesAfter(revision uint64) []storeview.Entry {
 	start := len(h.changes)
--- a/internal/steering/token/builder.go
+++ b/internal/steering/token/builder.go
@@ -127,6 +127,10 @@
 // activity.
 func (t *Target) inheritState(previous *Target) {
 	t.LatestIncarnation = t.Incarnation
+	t.presentSince = t.LearnedAt
+	if previous != nil && !previous.IsRemoved {
+		t.presentSince, t.isUnresponsive = previous.presentSince, previous.isUnresponsive
+	}
 	switch {
 	case previous == nil:
 		t.Signal = &balance.Signal{}
--- a/internal/steering/token/index.go
+++ b/internal/steering/token/index.go
@@ -1,14 +1,12 @@
 package token
 
 import (
-	"cmp"
 	"encoding/binary"
 	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/passtray/passtray/internal/loadshare"
-	"github.com/passtray/passtray/internal/storeview"
 )
 
 // index holds the known targets by token, address, zone and service. It is updated in place,
@@ -29,6 +27,8 @@
 	eligibleCount, superseded int
 	// slowStarting are the targets in slow start whose rate of new flows is limited.
 	slowStarting map[*Target]struct{}
+	// contested are the addresses of several targets of which any may run.
+	contested map[netip.AddrPort]struct{}
 }
 
 // zone holds the targets of a zone, except superseded ones, and their number by service.
@@ -57,6 +57,7 @@
 	return &index{
 		byMark: make(map[loadshare.Mark]*Target, targets), byAddress: make(map[addressKey]*Target, targets),
 		zones: map[string]*zone{}, services: map[string]*Service{}, slowStarting: map[*Target]struct{}{},
+		contested: map[netip.AddrPort]struct{}{},
 	}
 }
 
@@ -148,66 +149,6 @@
 	}
 }
 
-// updateSuperseded recomputes which targets at an address have ended.
-func (x *index) updateSuperseded(chain *Target, address netip.AddrPort) {
-	current := currentAt(chain, address)
-	for target := chain; target != nil; target = target.nextSameAddress {
-		if target.Address == address {
-			x.setSuperseded(target, target.isSupersededBy(current))
-		}
-	}
-}
-
-// currentAt returns the target that runs at an address: of those in the store, the one written
-// last.
-func currentAt(chain *Target, address netip.AddrPort) *Target {
-	var current *Target
-	for target := chain; target != nil; target = target.nextSameAddress {
-		if target.Address != address || target.IsRemoved || target.isUndeclared {
-			continue
-		}
-		if current == nil || target.startedAfter(current) {
-			current = target
-		}
-	}
-	return current
-}
-
-// startedAfter reports whether a target started to run at an address after another one, both being
-// in the store.
-func (t *Target) startedAfter(other *Target) bool {
-	if order := t.compareIncarnations(other); order != 0 {
-		return order > 0
-	}
-	return cmp.Or(cmp.Compare(t.Revision, other.Revision), cmp.Compare(t.Key, other.Key)) > 0
-}
-
-// compareIncarnations compares the incarnations of two targets of different store epochs, and
-// returns 0 if their revisions are to be compared instead. Revisions aren't comparable across
-// epochs: a store restored from a backup may list a target that ended long ago under a later
-// revision.
-func (t *Target) compareIncarnations(other *Target) int {
-	isOfOneEpoch := storeview.EpochOf(t.Written) == storeview.EpochOf(other.Written)
-	if isOfOneEpoch || t.Incarnation == 0 || other.Incarnation == 0 {
-		return 0
-	}
-	return cmp.Compare(t.Incarnation, other.Incarnation)
-}
-
-// isSupersededBy reports whether the target has ended because another one runs at its address. Of
-// two targets in the store the one written earlier has ended, since it can't have been written after
-// the other one started. A target that is gone has ended only if the present one was written later:
-// otherwise it is the present one that ended, and its removal is not known here yet.
-func (t *Target) isSupersededBy(current *Target) bool {
-	switch {
-	case current == nil || current == t:
-		return false
-	case t.IsRemoved || t.isUndeclared:
-		return cmp.Or(current.compareIncarnations(t), cmp.Compare(current.Revision, t.Written)) > 0
-	}
-	return true
-}
-
 func (x *index) setSuperseded(target *Target, isSuperseded bool) {
 	if target.IsSuperseded == isSuperseded {
 		return
--- /dev/null
+++ b/internal/steering/token/succession.go
@@ -0,0 +1,133 @@
+package token
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/passtray/passtray/internal/storeview"
+)
+
+// Of two targets with the same address only the one that started last can run. The store often shows
+// which one that is. If it does not, both are used until the address itself shows it: flows of an
+// ended target get no responses, as a target ignores packets that are addressed to another one.
+// Resetting the flows of the wrong one would end requests that run; if neither is reset, the callers
+// of the ended one wait a little longer.
+
+// successionSilence is how long a target must leave requests unanswered before its address counts as
+// taken over by a target that may have started later. Answers usually take a fraction of it.
+const successionSilence = 500 * time.Millisecond
+
+// succession is what is known of a target and another one at its address.
+type succession uint8
+
+const (
+	// runsOrUnrelated means that the other target is no reason to consider this one ended.
+	runsOrUnrelated succession = iota
+	// undecided means that either of the two may run.
+	undecided
+	// ended means that the other target started later.
+	ended
+)
+
+// successionBy returns what another target at the same address tells about this one.
+func (t *Target) successionBy(other *Target) succession {
+	switch {
+	case other == t || other.isUndeclared || t.StartedAfter(other.KnownTarget):
+		return runsOrUnrelated
+	case other.StartedAfter(t.KnownTarget):
+		return ended
+	case other.IsRemoved:
+		return runsOrUnrelated
+	case t.IsRemoved && other.isRenewedAfter(t):
+		return ended
+	case t.IsRemoved:
+		return runsOrUnrelated
+	}
+	return undecided
+}
+
+// isRenewedAfter reports whether the target's entry outlived that of another target. An entry that
+// may be a delayed write, or that a restore of the store brought back, does not count.
+func (t *Target) isRenewedAfter(other *Target) bool {
+	isOfOneEpoch := storeview.EpochOf(t.Written) == storeview.EpochOf(other.Written)
+	return isOfOneEpoch && t.Written > other.Written && !t.MayBeDelayedWrite()
+}
+
+// updateSuperseded recomputes which targets at an address have ended.
+func (x *index) updateSuperseded(chain *Target, address netip.AddrPort) {
+	isContested := false
+	for target := chain; target != nil; target = target.nextSameAddress {
+		if target.Address != address {
+			continue
+		}
+		state := x.successionAt(chain, target)
+		isContested = isContested || state == undecided
+		x.setSuperseded(target, state == ended || state == undecided && target.isUnresponsive)
+	}
+	if isContested {
+		x.contested[address] = struct{}{}
+	} else {
+		delete(x.contested, address)
+	}
+}
+
+// successionAt returns what the other targets at its address tell about a target.
+func (x *index) successionAt(chain, target *Target) succession {
+	state := runsOrUnrelated
+	for other := chain; other != nil; other = other.nextSameAddress {
+		if other.Address == target.Address {
+			state = max(state, target.successionBy(other))
+		}
+	}
+	return state
+}
+
+// ResolveContested decides for addresses with several targets, of which the store does not show
+// which one runs, by the responses seen since. It reports whether a target is superseded now that
+// was not before. It must not be called while the table is in use.
+func (t *Table) ResolveContested(now time.Time) bool {
+	hasNew := false
+	for address := range t.index.contested {
+		chain := t.index.byAddress[addressKeyOf(address)]
+		before := t.index.superseded
+		for target := chain; target != nil; target = target.nextSameAddress {
+			if target.Address == address {
+				target.isUnresponsive = t.index.isUnresponsive(now, chain, target)
+			}
+		}
+		t.index.updateSuperseded(chain, address)
+		for target := chain; target != nil; target = target.nextSameAddress {
+			t.index.reindex(target)
+		}
+		hasNew = hasNew || t.index.superseded > before
+	}
+	return hasNew
+}
+
+// isUnresponsive reports whether a target's responses, or their absence, show that another one runs
+// at its address.
+func (x *index) isUnresponsive(now time.Time, chain, target *Target) bool {
+	for other := chain; other != nil; other = other.nextSameAddress {
+		if other.Address == target.Address && target.successionBy(other) == undecided && target.isSilentSince(now, other) {
+			return true
+		}
+	}
+	return false
+}
+
+// isSilentSince reports whether the target has not responded since both were known, while another one
+// at its address has, or while requests waited for it and its entry is the earlier one.
+func (t *Target) isSilentSince(now time.Time, other *Target) bool {
+	since := t.presentSince
+	if other.presentSince.After(since) {
+		since = other.presentSince
+	}
+	switch {
+	case t.Signal.LastActivity().After(since):
+		return false
+	case other.Signal.LastActivity().After(since):
+		return true
+	}
+	isEarlier := t.Start.Revision < other.Start.Revision
+	return isEarlier && t.Signal.HasWaiting() && now.Sub(since) >= successionSilence
+}
--- /dev/null
+++ b/internal/steering/token/succession_test.go
@@ -0,0 +1,150 @@
+package token
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/passtray/passtray/internal/storeview"
+)
+
+// rewrite writes an entry of the target that ended at roster-0's address again.
+func (s *site) rewrite(key string, identifier, sequence uint64) {
+	s.target(key, identifier, "roster", func(target *storeview.Target) {
+		atRoster0Address(target)
+		target.Sequence = sequence
+	})
+}
+
+// newSuccession returns a site on which target 300 took over the address of target 100 long after
+// that one had started.
+func newSuccession(t *testing.T) *site {
+	t.Helper()
+	site := newSite(t)
+	site.now = site.now.Add(time.Minute)
+	site.rewrite("new", 300, 1)
+	return site
+}
+
+func (s *site) assertRuns(t *testing.T, running, ended uint64) {
+	t.Helper()
+	assert.Equal(t, s.follow(rosterAddress, 1, Of(running)).Action, Forward, "flow of the running target refused")
+	assert.Equal(t, s.follow(rosterAddress, 1, Of(ended)).Action, Refuse, "flow of the ended target not refused")
+	for number := range 100 {
+		assert.Assert(t, s.open(rosterAddress, 10+number).Target.Identifier != ended, "new flow sent to the ended target")
+	}
+}
+
+// TestDelayedWriteOfEndedTargetResetsNoFlow guards against taking the target that runs at an address
+// for ended after the store applied a write of its predecessor late.
+func TestDelayedWriteOfEndedTargetResetsNoFlow(t *testing.T) {
+	t.Run("after its entry expired", func(t *testing.T) {
+		site := newSuccession(t)
+		site.remove("roster-0")
+		site.now = site.now.Add(3 * time.Second)
+		site.rewrite("roster-0", 100, 37)
+		site.assertRuns(t, 300, 100)
+	})
+	t.Run("before its entry expires", func(t *testing.T) {
+		site := newSuccession(t)
+		site.target("roster-0", 100, "roster", func(target *storeview.Target) {
+			atRoster0Address(target)
+			target.Sequence, target.SlowStartRemaining = 3, time.Second
+		})
+		site.assertRuns(t, 300, 100)
+	})
+	t.Run("after the running target left the store", func(t *testing.T) {
+		site := newSuccession(t)
+		site.remove("roster-0")
+		site.rewrite("roster-0", 100, 37)
+		site.remove("new")
+		assert.Equal(t, site.follow(rosterAddress, 1, Of(300)).Action, Forward)
+		assert.Equal(t, site.follow(rosterAddress, 1, Of(100)).Action, Refuse)
+	})
+	t.Run("of which nothing was seen before", func(t *testing.T) {
+		site := newSite(t)
+		site.now = site.now.Add(time.Minute)
+		site.rewrite("late", 300, 37)
+		assert.Equal(t, site.follow(rosterAddress, 1, Of(100)).Action, Forward)
+	})
+	t.Run("which was its first, after the running target's", func(t *testing.T) {
+		site := newSite(t)
+		site.now = site.now.Add(4 * time.Second)
+		site.rewrite("late", 300, 1)
+		assert.Equal(t, site.follow(rosterAddress, 1, Of(100)).Action, Forward)
+	})
+}
+
+// TestRestartedDaemonResetsNoFlow guards against a different answer of a daemon that started after
+// the predecessor's entry had expired.
+func TestRestartedDaemonResetsNoFlow(t *testing.T) {
+	site := newSuccession(t)
+	site.remove("roster-0")
+	started := newSite(t)
+	started.view, started.builder = storeview.New(time.Minute), NewBuilder(time.Minute)
+	change := started.view.MergeSnapshot(site.now, site.view.EntriesSince(site.now, 0, storeview.Held{}), site.revision)
+	started.now, started.revision = site.now, site.revision
+	started.table = started.builder.Update(started.now, started.view, &change)
+	started.rewrite("roster-0", 100, 1)
+	started.assertRuns(t, 300, 100)
+}
+
+// TestEndedTargetIsSupersededAfterExpiry checks that callers of an ended target are refused once its
+// entry has expired, if the store did not show earlier which target runs.
+func TestEndedTargetIsSupersededAfterExpiry(t *testing.T) {
+	site := newSite(t)
+	site.rewrite("new", 300, 1)
+	assert.Equal(t, site.follow(rosterAddress, 1, Of(100)).Action, Forward)
+	site.remove("roster-0")
+	site.assertRuns(t, 300, 100)
+}
+
+// TestResponsesShowWhichTargetRuns checks the decision between two targets that claim an address.
+func TestResponsesShowWhichTargetRuns(t *testing.T) {
+	newContest := func(t *testing.T) *site {
+		t.Helper()
+		site := newSite(t)
+		site.now = site.now.Add(4 * time.Second)
+		site.rewrite("new", 300, 1)
+		site.now = site.now.Add(100 * time.Millisecond)
+		return site
+	}
+	signal := func(site *site, identifier uint64) *Target { return site.table.targetByIdentifier(identifier) }
+	t.Run("the new one responds", func(t *testing.T) {
+		site := newContest(t)
+		signal(site, 300).Signal.RecordActivity(site.now)
+		assert.Assert(t, site.table.ResolveContested(site.now))
+		site.assertRuns(t, 300, 100)
+	})
+	t.Run("the old one responds", func(t *testing.T) {
+		site := newContest(t)
+		signal(site, 100).Signal.RecordActivity(site.now)
+		assert.Assert(t, site.table.ResolveContested(site.now))
+		site.assertRuns(t, 100, 300)
+	})
+	t.Run("the old one leaves requests unanswered", func(t *testing.T) {
+		site := newContest(t)
+		signal(site, 100).Signal.AddPending(1)
+		assert.Assert(t, !site.table.ResolveContested(site.now))
+		site.now = site.now.Add(successionSilence)
+		assert.Assert(t, site.table.ResolveContested(site.now))
+		site.assertRuns(t, 300, 100)
+	})
+	t.Run("neither has requests", func(t *testing.T) {
+		site := newContest(t)
+		site.now = site.now.Add(time.Minute)
+		assert.Assert(t, !site.table.ResolveContested(site.now))
+		for _, identifier := range []uint64{100, 300} {
+			assert.Equal(t, site.follow(rosterAddress, 1, Of(identifier)).Action, Forward)
+		}
+	})
+	t.Run("a delayed write of the new one expires", func(t *testing.T) {
+		site := newContest(t)
+		signal(site, 100).Signal.AddPending(1)
+		site.now = site.now.Add(successionSilence)
+		assert.Assert(t, site.table.ResolveContested(site.now))
+		site.remove("new")
+		assert.Equal(t, site.follow(rosterAddress, 1, Of(100)).Action, Forward)
+	})
+}
--- a/internal/storenode/liveness_test.go
+++ b/internal/storenode/liveness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -63,9 +62,13 @@
 				node.applyVerdicts(now, node.plane.table.Load(), liveness.Output{Dead: []liveness.Verdict{verdict}})
 			})
 		},
-		"target superseded": func(site *testSite, _ *Node) {
-			address := site.target.LocalAddr().(*net.UDPAddr).AddrPort()
-			site.store.Put(storeview.Entry{Key: "target-2", Target: &storeview.Target{Identifier: 78, Service: "s", Address: address, Zone: "zone", Slots: 2}})
+		"target superseded by a later incarnation": func(site *testSite, _ *Node) {
+			site.putIncarnation("target-1", 77, 1)
+			site.putIncarnation("target-2", 78, 2)
+		},
+		"target superseded as its entry expires": func(site *testSite, _ *Node) {
+			site.putIncarnation("target-2", 78, 0)
+			site.store.Put(storeview.Entry{Key: "target-1"})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -84,6 +87,13 @@
 	}
 }
 
+// putIncarnation writes the entry of a target at the site's target address.
+func (s *testSite) putIncarnation(key string, identifier, incarnation uint64) {
+	s.store.Put(storeview.Entry{Key: key, Target: &storeview.Target{
+		Identifier: identifier, Service: "s", Address: s.targetAddress(), Zone: "zone", Slots: 2, Incarnation: incarnation,
+	}})
+}
+
 // Resets of idle flows beyond the limit of a tick are sent in the next tick.
 func TestIdleResetsAreRateLimited(t *testing.T) {
 	site, node := startReady(t, logr.Discard())
--- a/internal/storenode/resets.go
+++ b/internal/storenode/resets.go
@@ -73,3 +73,18 @@
 		n.log.Info(messageIdleReset, telemetry.FieldCount, reset)
 	}
 }
+
+// resolveContested decides which target runs at an address that several claim, and resets the flows of
+// those that have ended. Right after a pause of the process, responses may still wait in the socket.
+func (n *Node) resolveContested(now time.Time) {
+	table := n.plane.table.Load()
+	if table == nil || n.PausedFor(now) > 0 {
+		return
+	}
+	hasNew := false
+	n.plane.withLock(func() { hasNew = table.ResolveContested(now) })
+	if hasNew {
+		n.plane.mayHaveIdleResets = true
+		n.resetIdle(now, table)
+	}
+}
--- a/internal/storeview/lwwmap.go
+++ b/internal/storeview/lwwmap.go
@@ -47,6 +47,12 @@
 	// of the store: a draining target, for instance, does not become open again in the same
 	// incarnation.
 	supersedes(other K) bool
+	// continueFrom takes over what is known from an earlier state of the same key. It is called
+	// before the entry is held.
+	continueFrom(earlier K)
+	// absorb returns the entry with what an older or equal state of its key adds; isChanged is false
+	// if that is nothing.
+	absorb(other K) (joined K, isChanged bool)
 }
 
 // lwwMap is a last-writer-wins map of the entries of one kind. Removed entries are kept for the
@@ -98,6 +104,7 @@
 		return
 	case found && record.Revision <= existing.record().Revision:
 		if !r.supersedesRestored(learned, existing) {
+			r.absorb(existing, learned, change)
 			return
 		}
 		r.deferEntry(existing)
@@ -107,6 +114,9 @@
 	default:
 		r.dropDeferred(record.Key, record.Revision)
 	}
+	if found {
+		learned.continueFrom(existing)
+	}
 	record.IsRemoved = record.Revision <= upTo && r.wasAbsent(record, upTo)
 	if record.IsRemoved {
 		// Peers that hold the entry must see its removal as newer.
@@ -115,6 +125,17 @@
 	r.put(learned, change)
 }
 
+// absorb adds to a held entry what an older or equal state of its key tells.
+func (r *lwwMap[K]) absorb(existing, other K, change *Change) {
+	joined, isChanged := existing.absorb(other)
+	if !isChanged {
+		return
+	}
+	r.byKey[joined.record().Key] = joined
+	r.addToIndex(joined)
+	joined.addTo(change, joined.state() != existing.state())
+}
+
 // wasAbsent reports whether the complete state known up to revision upTo lacks the entry's key in
 // the entry's epoch.
 func (r *lwwMap[K]) wasAbsent(learned *Record, upTo uint64) bool {
--- a/internal/storeview/orders.go
+++ b/internal/storeview/orders.go
@@ -54,6 +54,10 @@
 
 func (o *KnownOrder) supersedes(other *KnownOrder) bool { return o.IsRemoved && !other.IsRemoved }
 
+func (o *KnownOrder) continueFrom(*KnownOrder) {}
+
+func (o *KnownOrder) absorb(*KnownOrder) (joined *KnownOrder, isChanged bool) { return o, false }
+
 func (o *KnownOrder) identity() uint64 { return 0 }
 
 func (o *KnownOrder) state() string { return o.State() }
--- a/internal/storeview/restoregrace.go
+++ b/internal/storeview/restoregrace.go
@@ -51,6 +51,12 @@
 	return r.isEarlierEpoch(earlier) && isInBackup && ChangeNumberOf(earlier) > ChangeNumberOf(restored)
 }
 
+// mayBeRestored reports whether the change at a revision may be from the backup from which the store
+// was restored.
+func (r *restoreGrace) mayBeRestored(revision uint64) bool {
+	return EpochOf(revision) > 0 && revision <= r.startRevision
+}
+
 // deferEntry defers an entry of the restored store that is older than the state kept from an
 // earlier epoch.
 func (r *lwwMap[K]) deferEntry(restored K) {
--- a/internal/storeview/targets.go
+++ b/internal/storeview/targets.go
@@ -9,6 +9,7 @@
 	Target
 	// WarmAt is the end of the target's slow start.
 	WarmAt time.Time
+	Start  Start
 }
 
 // States of a target.
@@ -18,8 +19,8 @@
 	StateGone     = "gone"     // no longer in the store; keeps its open flows
 )
 
-func newKnownTarget(record Record, target *Target) *KnownTarget {
-	return &KnownTarget{Record: record, Target: *target, WarmAt: record.LearnedAt.Add(target.SlowStartRemaining)}
+func newKnownTarget(record Record, target *Target, start Start) *KnownTarget {
+	return &KnownTarget{Record: record, Target: *target, WarmAt: record.LearnedAt.Add(target.SlowStartRemaining), Start: start}
 }
 
 // State returns StateOpen, StateDraining or StateGone.
@@ -48,6 +49,26 @@
 	return t.Draining && !other.Draining && !other.IsRemoved
 }
 
+// continueFrom takes over what is known of the incarnation from an earlier state of the same key.
+func (t *KnownTarget) continueFrom(earlier *KnownTarget) {
+	if !t.isSameIncarnation(&earlier.Target) {
+		t.Start.restartAt(earlier.Written, t.Written)
+		return
+	}
+	t.Start = t.Start.join(earlier.Start)
+}
+
+// absorb returns the state with what another source knows of the same incarnation; isChanged is
+// false if that is nothing new.
+func (t *KnownTarget) absorb(other *KnownTarget) (joined *KnownTarget, isChanged bool) {
+	if !t.isSameIncarnation(&other.Target) || !other.Start.improves(t.Start) {
+		return t, false
+	}
+	joined = t.clone()
+	joined.Start = t.Start.join(other.Start)
+	return joined, true
+}
+
 func (t *KnownTarget) identity() uint64 { return t.Identifier }
 
 func (t *KnownTarget) state() string { return t.State() }
@@ -59,7 +80,8 @@
 		// The receiver counts from LearnedAt, which it derives from the entry's age.
 		target.SlowStartRemaining += max(0, now.Sub(t.LearnedAt))
 	}
-	return Entry{Target: &target}
+	history := &TargetHistory{IsFirstWrite: t.Start.IsFirstWrite, Unsettled: t.Start.unsettled(now)}
+	return Entry{Target: &target, Created: t.Start.Revision, History: history}
 }
 
 func (t *KnownTarget) addTo(change *Change, hasNewState bool) {
