storeview, token: the departure of a target has clocks of its own

What callers saw: in planned work, leaving targets got new flows up to 3.5 s after the store took that they leave (bound 3 s), and 3.9 s if the daemon that reads the store had lost it. A target may end after the bound, which cuts off what runs there.

Cause: a target that leaves gets new flows for half of the bound if its service has no other. That time counted from LearnedAt, which each change of the entry and its removal renew; a target in slow start changes its entry with each renewal. It was also added to the time that a daemon took to learn of the departure. Ruled out: late learning in the case itself (all daemons log it within 0.2 s), first packets held back (the flows are new).

Change: storeview.Leaving is set once for each departure, with the time it was learned and the last confirmation by the store before. The grace period counts from the first, and ends at the bound after the second; copies of first packets keep to it too. Peers tell both times of draining targets. The end of a slow start is told to peers for removed entries as well (it came early by the entry's age). While entries may have expired in an outage, the removal alone counts, as before.

Why this works: no later change of the entry touches these times, and since the target was not leaving at the last confirmation, the bound holds whatever the learning took. A service whose targets all leave is served for as long as before.

--- a/internal/steering/token/opener.go
+++ b/internal/steering/token/opener.go
@@ -20,6 +20,8 @@
 	// is ejected. Each daemon sees only its part of the flows, so a higher threshold would delay
 	// many callers.
 	ejectAfterUnanswered = 1
+	// leavingMargin is the time for a first packet to reach its target.
+	leavingMargin = 250 * time.Millisecond
 	// maxRetries is how often a flow may be steered to another target.
 	maxRetries = 2
 )
@@ -30,6 +32,8 @@
 	random       *rand.Rand
 	pins         *ownership.Table
 	leavingGrace time.Duration
+	// leavingBound is how long after a target began to leave it may get new flows, 0 for no limit.
+	leavingBound time.Duration
 	// suspect are the targets that left a first packet unanswered.
 	suspect []FailureEvidence
 	// expiryWindow is the period in which entries of running targets may be missing.
@@ -55,10 +59,14 @@
 // gone may get new flows for leavingGrace after that was learned, if no other target is left.
 func NewOpener(zone string, random *rand.Rand, pins *ownership.Table, leavingGrace time.Duration) *Opener {
 	opener := &Opener{zone: zone, random: random, pins: pins, leavingGrace: leavingGrace}
-	opener.allowsExpired, opener.allowsLeaving = opener.mayHaveExpired, opener.isWithinGrace
+	opener.allowsExpired, opener.allowsLeaving = opener.mayHaveExpired, opener.mayUseLeaving
 	return opener
 }
 
+// SetLeavingBound sets how long after a target began to leave new flows may reach it, however late
+// that was learned. The leaving grace period is limited by it.
+func (o *Opener) SetLeavingBound(bound time.Duration) { o.leavingBound = bound - leavingMargin }
+
 // SetExpiryWindow sets the period in which entries of running targets may be missing.
 func (o *Opener) SetExpiryWindow(expiryWindow storeview.ExpiryWindow) { o.expiryWindow = expiryWindow }
 
@@ -90,6 +98,7 @@
 	}
 	decision := Decision{Action: Forward, Reason: ReasonFirstPacket, Route: route}
 	o.overloaded = nil
+	o.now = now
 	o.pins.Update(now, flowKey(route, packet), func(pin ownership.Pin, found bool) (ownership.Pin, bool) {
 		if found {
 			return o.steerRetransmission(now, table, &decision, pin)
@@ -100,8 +109,8 @@
 	switch {
 	case decision.Target != nil:
 		return decision
-	case decision.Reason == ReasonEvacuated:
-		return Decision{Reason: ReasonEvacuated, Route: route}
+	case decision.Reason == ReasonEvacuated, decision.Reason == ReasonLeavingTarget:
+		return Decision{Reason: decision.Reason, Route: route}
 	case o.overloaded != nil:
 		return Decision{Action: Hold, Reason: ReasonOverload, Route: route, load: o.overloaded.Load, Service: o.overloaded.Name}
 	case o.atLimit:
@@ -131,6 +140,9 @@
 	if suspect != nil && suspect.IsEvacuated {
 		return o.steerFromEvacuated(now, table, decision, pin)
 	}
+	if suspect != nil && o.isClosed(suspect) {
+		return o.steerFromLeaving(now, table, decision, pin)
+	}
 	isRetransmission := now.Sub(pin.Created) >= minRetransmitAge || suspect != nil && suspect.isDead(now)
 	if suspect != nil && (pin.Answered || !isRetransmission || pin.Retries >= maxRetries) {
 		decision.Reason = ReasonRetransmission
@@ -163,6 +175,17 @@
 	return o.assign(now, decision, pin)
 }
 
+// steerFromLeaving steers a retransmitted first packet whose target must not get new flows any more
+// since it leaves. As with evacuated targets, an open flow gets no reply.
+func (o *Opener) steerFromLeaving(now time.Time, table *Table, decision *Decision, pin ownership.Pin) (ownership.Pin, bool) {
+	if pin.Answered {
+		decision.Reason = ReasonLeavingTarget
+		return pin, true
+	}
+	decision.Target = o.pick(now, table, decision.Route, nil)
+	return o.assign(now, decision, pin)
+}
+
 // TakeUnresponsive returns the targets that left first packets unanswered since the last call.
 func (o *Opener) TakeUnresponsive() []FailureEvidence {
 	suspect := o.suspect
--- a/internal/storeview/lwwmap.go
+++ b/internal/storeview/lwwmap.go
@@ -50,6 +50,9 @@
 	// continueFrom takes over what is known from an earlier state of the same key. It is called
 	// before the entry is held.
 	continueFrom(earlier K)
+	// markLeaving records that the entry's removal was learned at a time, while everything that the
+	// store held at confirmedAt was known. It is called before the entry is held.
+	markLeaving(at, confirmedAt time.Time)
 	// absorb returns the entry with what an older or equal state of its key adds; isChanged is false
 	// if that is nothing.
 	absorb(other K) (joined K, isChanged bool)
@@ -58,8 +61,9 @@
 // lwwMap is a last-writer-wins map of the entries of one kind. Removed entries are kept for the
 // retention period, since peers need their removal and open flows may still use them.
 type lwwMap[K mergeable[K]] struct {
-	removed *tombstones
-	grace   *restoreGrace
+	removed      *tombstones
+	grace        *restoreGrace
+	confirmation *confirmation
 	// deferred holds entries of a restored store that are older than the state kept from an earlier
 	// epoch.
 	deferred map[string]K
@@ -70,9 +74,9 @@
 	index revisionIndex[K]
 }
 
-func newLWWMap[K mergeable[K]](removed *tombstones, grace *restoreGrace) *lwwMap[K] {
+func newLWWMap[K mergeable[K]](removed *tombstones, grace *restoreGrace, confirmation *confirmation) *lwwMap[K] {
 	return &lwwMap[K]{
-		removed: removed, grace: grace,
+		removed: removed, grace: grace, confirmation: confirmation,
 		deferred: map[string]K{}, byKey: map[string]K{}, gone: map[string]bool{},
 	}
 }
@@ -121,6 +125,7 @@
 	if record.IsRemoved {
 		// Peers that hold the entry must see its removal as newer.
 		record.Revision = upTo
+		learned.markLeaving(record.LearnedAt, r.confirmation.at)
 	}
 	r.put(learned, change)
 }
@@ -231,6 +236,7 @@
 	if !wasGone {
 		record.IsRemoved = true
 		record.LearnedAt = at
+		ended.markLeaving(at, r.confirmation.at)
 		r.gone[record.Key] = true
 	}
 	r.byKey[record.Key] = ended
--- a/internal/storeview/orders.go
+++ b/internal/storeview/orders.go
@@ -56,6 +56,8 @@
 
 func (o *KnownOrder) continueFrom(*KnownOrder) {}
 
+func (o *KnownOrder) markLeaving(_, _ time.Time) {}
+
 func (o *KnownOrder) absorb(*KnownOrder) (joined *KnownOrder, isChanged bool) { return o, false }
 
 func (o *KnownOrder) identity() uint64 { return 0 }
--- a/internal/storeview/targets.go
+++ b/internal/storeview/targets.go
@@ -10,6 +10,8 @@
 	// WarmAt is the end of the target's slow start.
 	WarmAt time.Time
 	Start  Start
+	// Leaving is nil unless the target is draining or gone.
+	Leaving *Leaving
 }
 
 // States of a target.
@@ -56,16 +58,29 @@
 		return
 	}
 	t.Start = t.Start.join(earlier.Start)
+	if t.Draining && earlier.Draining {
+		t.Leaving = t.Leaving.join(earlier.Leaving)
+	}
+}
+
+func (t *KnownTarget) markLeaving(at, confirmedAt time.Time) {
+	if t.Leaving == nil {
+		t.Leaving = newLeaving(at, confirmedAt)
+	}
 }
 
 // absorb returns the state with what another source knows of the same incarnation; isChanged is
 // false if that is nothing new.
 func (t *KnownTarget) absorb(other *KnownTarget) (joined *KnownTarget, isChanged bool) {
-	if !t.isSameIncarnation(&other.Target) || !other.Start.improves(t.Start) {
+	isEarlier := t.Draining && other.Draining && other.Leaving.improves(t.Leaving)
+	if !t.isSameIncarnation(&other.Target) || !other.Start.improves(t.Start) && !isEarlier {
 		return t, false
 	}
 	joined = t.clone()
 	joined.Start = t.Start.join(other.Start)
+	if isEarlier {
+		joined.Leaving = t.Leaving.join(other.Leaving)
+	}
 	return joined, true
 }
 
@@ -76,11 +91,14 @@
 func (t *KnownTarget) toEntry(now time.Time) Entry {
 	target := t.Target
 	target.SlowStartRemaining = max(0, t.WarmAt.Sub(now))
-	if !t.IsRemoved {
+	if target.SlowStartRemaining > 0 {
 		// The receiver counts from LearnedAt, which it derives from the entry's age.
 		target.SlowStartRemaining += max(0, now.Sub(t.LearnedAt))
 	}
 	history := &TargetHistory{IsFirstWrite: t.Start.IsFirstWrite, Unsettled: t.Start.unsettled(now)}
+	if t.Draining {
+		history.Leaving = newLeavingAge(now, t.Leaving)
+	}
 	return Entry{Target: &target, Created: t.Start.Revision, History: history}
 }
 
