storeview: a delayed write does not reopen a leaving target, nor bring an earlier incarnation back

Found while looking for the cause of the reset flows on related paths; no user saw it. The store applies a write late, and only one of a higher sequence number guards an entry that is still there. After the entry of a leaving target has gone, a delayed write in which it was ready makes it eligible again, and a write of an earlier incarnation under the same key replaced the later one.

Change: within an incarnation a target that drains stays draining, also if a peer alone knows of it, and a lower sequence number does not prolong the slow start. A write of an earlier incarnation changes the revision only; a later incarnation that has left stays removed. After a restore of the store its content decides, as before.

Tests: TestDelayedWriteDoesNotReopenLeavingTarget (9 cases), TestDelayedWriteOfEarlierIncarnation, TestDelayedWriteDoesNotProlongSlowStart. TestIncrementalListConverges opened drained targets again in the same incarnation, which no target does; its store now gives them a later incarnation, and the content is compared as before.

--- a/internal/followed/incrementallist_test.go
+++ b/internal/followed/incrementallist_test.go
@@ -25,6 +25,10 @@
 	events []storeview.Entry
 	// removed are the keys that were removed at any time.
 	removed map[string]bool
+	// incarnations are those of the targets by number; draining are the targets that have drained
+	// in theirs.
+	incarnations map[int]uint64
+	draining     map[int]bool
 	// calls are the calls without an answer.
 	calls []*Call
 }
@@ -37,7 +41,10 @@
 // newChangingStore returns a store with a configuration and targets, of which one in five is of
 // the ledger service.
 func newChangingStore() *changingStore {
-	store := &changingStore{content: map[string]storeview.Entry{}, removed: map[string]bool{}, revision: 100, compacted: 100}
+	store := &changingStore{
+		content: map[string]storeview.Entry{}, removed: map[string]bool{}, revision: 100, compacted: 100,
+		incarnations: map[int]uint64{}, draining: map[int]bool{},
+	}
 	store.configure(1)
 	for number := range changingTargets {
 		store.put(number, false)
@@ -67,12 +74,17 @@
 
 func changingKey(number int) string { return fmt.Sprintf("target-%03d", number) }
 
+// put writes a target. One that has drained is open again only in a later incarnation.
 func (s *changingStore) put(number int, isDraining bool) {
+	if s.draining[number] && !isDraining || s.incarnations[number] == 0 {
+		s.incarnations[number]++
+	}
+	s.draining[number] = isDraining
 	service := "roster"
 	if number%5 == 0 {
 		service = "ledger"
 	}
-	s.write(storeview.Entry{Key: changingKey(number), Target: &storeview.Target{Identifier: uint64(number + 1), Service: service, Draining: isDraining}})
+	s.write(storeview.Entry{Key: changingKey(number), Target: &storeview.Target{Identifier: uint64(number + 1), Service: service, Draining: isDraining, Incarnation: s.incarnations[number]}})
 }
 
 func (s *changingStore) remove(number int) { s.write(storeview.Entry{Key: changingKey(number)}) }
--- /dev/null
+++ b/internal/storeview/delayedwrite_test.go
@@ -0,0 +1,86 @@
+package storeview
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// runEntry returns an entry of target 1, written by an incarnation that has made some writes.
+func runEntry(revision, incarnation, sequence uint64, isDraining bool) Entry {
+	return Entry{Key: "a", Revision: revision, Target: &Target{
+		Identifier: 1, Service: "s", Draining: isDraining, Incarnation: incarnation, Sequence: sequence,
+	}}
+}
+
+// TestDelayedWriteDoesNotReopenLeavingTarget guards against new flows to a target that drains, after the
+// store applied an earlier write late in which it was open.
+func TestDelayedWriteDoesNotReopenLeavingTarget(t *testing.T) {
+	began := testStart.Add(time.Minute)
+	newView := func(incarnation uint64) *View {
+		view := New(time.Minute)
+		view.Merge(testStart, []Entry{runEntry(1, incarnation, 1, false)})
+		view.Merge(began, []Entry{runEntry(2, incarnation, 9, true)})
+		return view
+	}
+	for name, incarnations := range map[string][2]uint64{
+		"no incarnation": {0, 0}, "the same incarnation": {5, 5}, "an incarnation that is not stated": {5, 0}, "an earlier incarnation": {5, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			view := newView(incarnations[0])
+			view.Merge(began.Add(time.Second), []Entry{runEntry(3, incarnations[1], 8, false)})
+			assert.Equal(t, view.Target("a").State(), StateDraining)
+			assert.Assert(t, view.Target("a").Leaving.LearnedAt.Equal(began))
+			assert.Equal(t, view.Target("a").Revision, uint64(3))
+		})
+		t.Run(name+", after it left", func(t *testing.T) {
+			view := newView(incarnations[0])
+			view.Merge(began.Add(time.Second), []Entry{removalEntry("a", 3), runEntry(4, incarnations[1], 8, false)})
+			assert.Assert(t, view.Target("a").State() != StateOpen)
+		})
+	}
+	t.Run("a later incarnation is open", func(t *testing.T) {
+		view := newView(5)
+		view.Merge(began.Add(time.Second), []Entry{runEntry(3, 6, 1, false)})
+		assert.Equal(t, view.Target("a").State(), StateOpen)
+		assert.Assert(t, view.Target("a").Leaving == nil)
+	})
+	t.Run("a daemon that listed the delayed write learns from a peer", func(t *testing.T) {
+		view, started := newView(0), New(time.Minute)
+		view.Merge(began.Add(time.Second), []Entry{runEntry(3, 0, 8, false)})
+		started.MergeSnapshot(began, []Entry{runEntry(3, 0, 8, false)}, 3)
+		now := began.Add(2 * time.Second)
+		change := started.Merge(now, view.EntriesSince(now, 0, Held{}))
+		assert.Equal(t, started.Target("a").State(), StateDraining)
+		assert.Assert(t, started.Target("a").Leaving.LearnedAt.Equal(began))
+		assert.Assert(t, change.Targets)
+		assert.Assert(t, !started.Merge(now, view.EntriesSince(now, 0, Held{})).Targets, "nothing new")
+	})
+}
+
+// TestDelayedWriteOfEarlierIncarnation guards against taking a target that restarted under its
+// identifier for its earlier incarnation, whose write the store applied late.
+func TestDelayedWriteOfEarlierIncarnation(t *testing.T) {
+	view := New(time.Minute)
+	view.Merge(testStart, []Entry{runEntry(1, 4, 7, false), runEntry(2, 9, 1, false), runEntry(3, 4, 8, true)})
+	assert.Equal(t, view.Target("a").State(), StateOpen)
+	assert.Equal(t, view.Target("a").Incarnation, uint64(9))
+	view.Merge(testStart, []Entry{removalEntry("a", 4), runEntry(5, 4, 8, false)})
+	assert.Equal(t, view.Target("a").State(), StateGone, "the later incarnation left")
+	view.Merge(testStart, []Entry{runEntry(6, 9, 4, false)})
+	assert.Equal(t, view.Target("a").State(), StateOpen, "the later incarnation writes again")
+}
+
+// TestDelayedWriteDoesNotProlongSlowStart checks that the slow start keeps its end.
+func TestDelayedWriteDoesNotProlongSlowStart(t *testing.T) {
+	cold := func(revision, sequence uint64, remaining time.Duration) Entry {
+		entry := runEntry(revision, 0, sequence, false)
+		entry.Target.SlowStartRemaining = remaining
+		return entry
+	}
+	view := New(time.Minute)
+	view.Merge(testStart, []Entry{cold(1, 2, 2*time.Second)})
+	view.Merge(testStart.Add(4*time.Second), []Entry{cold(2, 1, 3*time.Second)})
+	assert.Assert(t, view.Target("a").WarmAt.Equal(testStart.Add(2*time.Second)))
+}
--- a/internal/storeview/lwwmap.go
+++ b/internal/storeview/lwwmap.go
@@ -121,8 +121,8 @@
 	if found {
 		learned.continueFrom(existing)
 	}
-	record.IsRemoved = record.Revision <= upTo && r.wasAbsent(record, upTo)
-	if record.IsRemoved {
+	if record.Revision <= upTo && r.wasAbsent(record, upTo) {
+		record.IsRemoved = true
 		// Peers that hold the entry must see its removal as newer.
 		record.Revision = upTo
 		learned.markLeaving(record.LearnedAt, r.confirmation.at)
--- a/internal/storeview/targets.go
+++ b/internal/storeview/targets.go
@@ -53,37 +53,77 @@
 
 // continueFrom takes over what is known of the incarnation from an earlier state of the same key.
 func (t *KnownTarget) continueFrom(earlier *KnownTarget) {
-	if !t.isSameIncarnation(&earlier.Target) {
+	switch {
+	case t.isSameIncarnation(&earlier.Target):
+		t.continueIncarnation(earlier)
+	case t.isOutdatedBy(earlier):
+		t.replaceBy(earlier)
+	default:
 		t.Start.restartAt(earlier.Written, t.Written)
-		return
 	}
+}
+
+// continueIncarnation takes over what is known from an earlier state of the same incarnation. Its
+// entry may be a delayed write, which was made before that state.
+func (t *KnownTarget) continueIncarnation(earlier *KnownTarget) {
 	t.Start = t.Start.join(earlier.Start)
-	if t.Draining && earlier.Draining {
-		t.Leaving = t.Leaving.join(earlier.Leaving)
+	if t.Sequence < earlier.Sequence && earlier.WarmAt.Before(t.WarmAt) {
+		t.WarmAt = earlier.WarmAt
 	}
+	t.Sequence = max(t.Sequence, earlier.Sequence)
+	t.joinDraining(earlier)
 }
 
-func (t *KnownTarget) markLeaving(at, confirmedAt time.Time) {
-	if t.Leaving == nil {
-		t.Leaving = newLeaving(at, confirmedAt)
+// joinDraining takes over that the incarnation drains: it does not become open again. After a restore
+// of the store, its content decides.
+func (t *KnownTarget) joinDraining(other *KnownTarget) {
+	if !other.Draining || EpochOf(other.Written) != EpochOf(t.Written) {
+		return
 	}
+	if !t.Draining {
+		t.Draining, t.Leaving = true, other.Leaving
+		return
+	}
+	t.Leaving = t.Leaving.join(other.Leaving)
+}
+
+// isOutdatedBy reports whether the entry is a delayed write of an earlier incarnation than the one of
+// a known state.
+func (t *KnownTarget) isOutdatedBy(known *KnownTarget) bool {
+	isOfOneEpoch := EpochOf(t.Written) == EpochOf(known.Written)
+	return isOfOneEpoch && t.Identifier == known.Identifier && t.Incarnation < known.Incarnation
+}
+
+// replaceBy replaces the described incarnation by that of a known state. The revision stays, as it is
+// the one that the store's item has now.
+func (t *KnownTarget) replaceBy(known *KnownTarget) {
+	record := t.Record
+	*t = *known
+	t.Revision, t.Written = record.Revision, record.Written
 }
 
 // absorb returns the state with what another source knows of the same incarnation; isChanged is
 // false if that is nothing new.
 func (t *KnownTarget) absorb(other *KnownTarget) (joined *KnownTarget, isChanged bool) {
-	isEarlier := t.Draining && other.Draining && other.Leaving.improves(t.Leaving)
-	if !t.isSameIncarnation(&other.Target) || !other.Start.improves(t.Start) && !isEarlier {
+	if !t.isSameIncarnation(&other.Target) {
 		return t, false
 	}
 	joined = t.clone()
 	joined.Start = t.Start.join(other.Start)
-	if isEarlier {
-		joined.Leaving = t.Leaving.join(other.Leaving)
+	joined.joinDraining(other)
+	isNewlyDraining := joined.Draining && !t.Draining
+	if !isNewlyDraining && !joined.Leaving.improves(t.Leaving) && !joined.Start.improves(t.Start) {
+		return t, false
 	}
 	return joined, true
 }
 
+func (t *KnownTarget) markLeaving(at, confirmedAt time.Time) {
+	if t.Leaving == nil {
+		t.Leaving = newLeaving(at, confirmedAt)
+	}
+}
+
 func (t *KnownTarget) identity() uint64 { return t.Identifier }
 
 func (t *KnownTarget) state() string { return t.State() }
