monotonic: stored times do not move with the time of day

What callers saw: after the time of day had jumped back, some daemons reset open flows of a live target, and what ran on them was not answered.

Cause: times that goroutines share were stored as Unix nanoseconds. A verdict that a target is dead, due to end after 3 s, lasted longer by as much as the time of day jumped back. Ruled out: a second verdict (none is logged).

For times without a monotonic reading, as in virtual time, the numbers are the same as before.

Why this works: the Go runtime takes the difference of two monotonic readings, which run on through a jump.

--- a/internal/balance/slowness.go
+++ b/internal/balance/slowness.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync/atomic"
 	"time"
+
+	"github.com/passtray/passtray/internal/monotonic"
 )
 
 const (
@@ -41,7 +43,7 @@
 
 func (s *slowness) set(now time.Time, average float64) {
 	s.average.Store(math.Float64bits(average))
-	s.at.Store(now.UnixNano())
+	s.at.Store(monotonic.Nanoseconds(now))
 }
 
 // value returns the current average, 1 for a target of usual speed.
@@ -50,7 +52,7 @@
 	if at == 0 {
 		return 1
 	}
-	age := float64(now.UnixNano()-at) / float64(slownessDecay)
+	age := float64(monotonic.Nanoseconds(now)-at) / float64(slownessDecay)
 	return 1 + (math.Float64frombits(s.average.Load())-1)*math.Exp(-max(age, 0))
 }
 
--- a/internal/balance/slowstart.go
+++ b/internal/balance/slowstart.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/passtray/passtray/internal/monotonic"
 )
 
 const (
@@ -43,7 +45,7 @@
 	}
 	log.mutex.Lock()
 	defer log.mutex.Unlock()
-	log.times[log.next] = now.UnixNano()
+	log.times[log.next] = monotonic.Nanoseconds(now)
 	log.next = (log.next + 1) % maxSlowStartShare
 }
 
@@ -59,5 +61,5 @@
 		return true
 	}
 	oldest := log.times[(log.next-log.share+maxSlowStartShare)%maxSlowStartShare]
-	return oldest != 0 && now.UnixNano()-oldest < int64(slowStartWindow)
+	return oldest != 0 && monotonic.Nanoseconds(now)-oldest < int64(slowStartWindow)
 }
--- a/internal/balance/speed.go
+++ b/internal/balance/speed.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync/atomic"
 	"time"
+
+	"github.com/passtray/passtray/internal/monotonic"
 )
 
 // speedLifetime is how long a speed is valid if it is not renewed.
@@ -18,13 +20,13 @@
 // SetSpeed sets the target's speed relative to the mean of its service.
 func (s *Signal) SetSpeed(now time.Time, ratio float64) {
 	s.speed.ratio.Store(math.Float64bits(ratio))
-	s.speed.at.Store(now.UnixNano())
+	s.speed.at.Store(monotonic.Nanoseconds(now))
 }
 
 // Speed returns the target's speed relative to the mean of its service, 1 if unknown.
 func (s *Signal) Speed(now time.Time) float64 {
 	at := s.speed.at.Load()
-	if at == 0 || now.UnixNano()-at > int64(speedLifetime) {
+	if at == 0 || monotonic.Nanoseconds(now)-at > int64(speedLifetime) {
 		return 1
 	}
 	return math.Float64frombits(s.speed.ratio.Load())
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/net/ipv4"
+
+	"github.com/passtray/passtray/internal/monotonic"
 )
 
 const (
@@ -45,7 +47,7 @@
 	Sent      atomic.Uint64
 	SendError atomic.Uint64
 	Oversized atomic.Uint64
-	// LastReceived is the arrival time of the last batch, in Unix nanoseconds.
+	// LastReceived is the arrival time of the last batch, in nanoseconds of package monotonic.
 	LastReceived atomic.Int64
 }
 
@@ -163,7 +165,7 @@
 			continue
 		}
 		w.counters.Received.Add(uint64(count))
-		w.counters.LastReceived.Store(time.Now().UnixNano())
+		w.counters.LastReceived.Store(monotonic.Nanoseconds(time.Now()))
 		for index := range count {
 			w.handleOne(index, &inbound)
 		}
--- a/internal/storenode/completeness.go
+++ b/internal/storenode/completeness.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/passtray/passtray/internal/monotonic"
 )
 
 const (
@@ -18,7 +20,7 @@
 // completeness records how much of the store's content is known. It is safe for concurrent use.
 type completeness struct {
 	isComplete atomic.Bool
-	// usableAt is when a part sufficed to serve new flows, in Unix nanoseconds; 0 before.
+	// usableAt is when a part sufficed to serve new flows, in nanoseconds of package monotonic; 0 before.
 	usableAt atomic.Int64
 	// isPartReady reports that this daemon became ready with a part.
 	isPartReady atomic.Bool
@@ -26,7 +28,9 @@
 
 func (c *completeness) setComplete() { c.isComplete.Store(true) }
 
-func (c *completeness) setUsable(now time.Time) { c.usableAt.CompareAndSwap(0, now.UnixNano()) }
+func (c *completeness) setUsable(now time.Time) {
+	c.usableAt.CompareAndSwap(0, monotonic.Nanoseconds(now))
+}
 
 // isPartial reports whether only a part of the content is known.
 func (c *completeness) isPartial() bool { return !c.isComplete.Load() && c.usableAt.Load() != 0 }
@@ -42,7 +46,7 @@
 		return false
 	}
 	isReceiving := now.Sub(lastReceived) < recentPacketAge
-	if isReceiving || now.Sub(time.Unix(0, usableAt)) >= partialReadyDelay {
+	if isReceiving || now.Sub(monotonic.Time(usableAt)) >= partialReadyDelay {
 		c.isPartReady.Store(true)
 	}
 	return c.isPartReady.Load()
--- a/internal/storenode/decision_log.go
+++ b/internal/storenode/decision_log.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/passtray/passtray/internal/monotonic"
 	"github.com/passtray/passtray/internal/steering/token"
 	"github.com/passtray/passtray/internal/telemetry"
 )
@@ -58,12 +59,12 @@
 }
 
 // millisecondsSinceConfirmed returns how many milliseconds ago the store confirmed the view, given the
-// Unix nanoseconds until which that confirmation is valid; -1 if the store has not confirmed it yet.
+// number of package monotonic until which that confirmation is valid; -1 if the store has not confirmed it yet.
 func millisecondsSinceConfirmed(until int64) int64 {
 	if until == 0 {
 		return -1
 	}
-	return (time.Since(time.Unix(0, until)) + confirmationLifetime).Milliseconds()
+	return (time.Since(monotonic.Time(until)) + confirmationLifetime).Milliseconds()
 }
 
 func flowName(packet *token.Packet) string {
--- a/internal/storenode/liveness.go
+++ b/internal/storenode/liveness.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/passtray/passtray/internal/liveness"
+	"github.com/passtray/passtray/internal/monotonic"
 	"github.com/passtray/passtray/internal/steering/token"
 	"github.com/passtray/passtray/internal/telemetry"
 )
@@ -43,7 +44,7 @@
 
 // LastResponse implements liveness.Directory.
 func (d livenessDirectory) LastResponse() time.Time {
-	return time.Unix(0, d.plane.lastAnsweredSend.Load())
+	return monotonic.Time(d.plane.lastAnsweredSend.Load())
 }
 
 func (n *Node) livenessDirectory(now time.Time, table *token.Table) livenessDirectory {
--- a/internal/targetspeed/exchange.go
+++ b/internal/targetspeed/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/passtray/passtray/internal/loadshare"
+	"github.com/passtray/passtray/internal/monotonic"
 )
 
 const (
@@ -53,12 +54,12 @@
 
 // storedObservation is the latest observation of a target from one reporter.
 type storedObservation struct {
-	at               int64 // Unix nanoseconds
+	at               int64 // nanoseconds of package monotonic
 	logRatio, weight float32
 }
 
 func (t storedObservation) weightAt(now time.Time) float64 {
-	age := time.Duration(now.UnixNano() - t.at)
+	age := time.Duration(monotonic.Nanoseconds(now) - t.at)
 	return float64(t.weight) * math.Exp(-max(0, age.Seconds())/decayTime.Seconds())
 }
 
@@ -155,7 +156,7 @@
 	if _, isKnown := reporters[from]; !isKnown && len(reporters) >= maxReporters {
 		delete(reporters, lowestWeight(now, reporters))
 	}
-	reporters[from] = storedObservation{at: at.UnixNano(), logRatio: float32(entry.logRatio), weight: float32(min(entry.weight, maxWeight))}
+	reporters[from] = storedObservation{at: monotonic.Nanoseconds(at), logRatio: float32(entry.logRatio), weight: float32(min(entry.weight, maxWeight))}
 }
 
 // lowestWeight returns the reporter with the lowest weight.
