simulation: writes that the store applies late, targets that leave in slow start, readers that lose the store

TestFlowInvariantsHoldWithDelayedWrites crashes a target each second, starts another one at its address and applies a write of the crashed one 1 to 6 s late, with daemons restarted meanwhile, with and without incarnations. TestLeavingTargetsGetNoFlowsPastBound has all targets of a service leave while the latest are in slow start: in planned work alone, as the readers lose the store, as daemons start.

--- /dev/null
+++ b/internal/simulation/delayed_writes_test.go
@@ -0,0 +1,127 @@
+package simulation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// maxDowntime is the longest time until another target starts at the address of a crashed one,
+	// minWriteDelay and maxWriteDelay bound the delay of a write that the store applies late.
+	maxDowntime   = time.Second
+	minWriteDelay = time.Second
+	maxWriteDelay = 6 * time.Second
+)
+
+func (r *flowRun) randomDuration(from, to time.Duration) time.Duration {
+	return from + time.Duration(r.random.Int64N(int64(to-from)))
+}
+
+// replaceCrashed crashes a target and starts another one at its address, while a write of the crashed
+// one is delayed.
+func (r *flowRun) replaceCrashed() {
+	service := r.service()
+	target := r.takeTarget(service)
+	if target == nil {
+		return
+	}
+	downtime, delay := r.randomDuration(100*time.Millisecond, maxDowntime), r.randomDuration(minWriteDelay, maxWriteDelay)
+	r.ReplaceCrashedTarget(target, downtime, delay, func(later *FlowTarget) {
+		r.activeTargets[service] = append(r.activeTargets[service], later)
+	})
+}
+
+// TestFlowInvariantsHoldWithDelayedWrites guards against resets of flows of a live target after the
+// store applied a write of its predecessor late. Targets crash again soon after their start, and
+// daemons are restarted meanwhile.
+func TestFlowInvariantsHoldWithDelayedWrites(t *testing.T) {
+	t.Parallel()
+	for _, omitIncarnations := range []bool{true, false} {
+		t.Run(fmt.Sprintf("without incarnations %t", omitIncarnations), func(t *testing.T) {
+			t.Parallel()
+			forEachSeed(t, func(t *testing.T, seed uint64) {
+				run := startFlowRun(seed)
+				run.OmitIncarnations = omitIncarnations
+				for second := range 25 {
+					run.replaceCrashed()
+					if second%3 == 1 {
+						run.restart(run.random.IntN(flowDaemons), 300*time.Millisecond)
+					}
+					for range flowsPerSecond {
+						run.beginFlow().MaxIdle = time.Second
+						run.Clock.Advance(time.Second / flowsPerSecond)
+					}
+				}
+				run.Clock.Advance(10 * time.Second)
+				assert.Equal(t, len(run.Violations), 0, "seed %d: %v", seed, run.Violations)
+				assert.Assert(t, run.Opened > run.Begun/2, "seed %d: only %d of %d flows opened", seed, run.Opened, run.Begun)
+			})
+		})
+	}
+}
+
+// leaveWhileCold has all targets of a service leave while the latest ones are in slow start.
+func (r *flowRun) leaveWhileCold(service string) {
+	for range 2 {
+		zone := testZones[r.random.IntN(len(testZones))]
+		target := r.AddColdTarget(service, zone, r.freshAddress(), r.randomDuration(time.Second, 6*time.Second))
+		r.activeTargets[service] = append(r.activeTargets[service], target)
+	}
+	r.Clock.After(r.randomDuration(0, time.Second), func() {
+		for _, target := range r.activeTargets[service] {
+			r.DrainTarget(target)
+		}
+		r.activeTargets[service] = nil
+	})
+}
+
+// silenceReaders makes the store unresponsive for the daemons that read it, for some time.
+func (r *flowRun) silenceReaders(duration time.Duration) {
+	silenced := map[int]bool{}
+	for index, daemon := range r.Daemons {
+		silenced[index] = daemon.Core != nil && daemon.Core.IsReading()
+	}
+	r.IsIsolated = func(index int) bool { return silenced[index] }
+	r.Store.StateFor = func(caller int) StoreState {
+		if silenced[caller] {
+			return StoreUnresponsive
+		}
+		return StoreHealthy
+	}
+	r.Clock.After(duration, func() { r.IsIsolated, r.Store.StateFor = nil, nil })
+}
+
+// TestLeavingTargetsGetNoFlowsPastBound guards against new flows to targets that left long ago, if all
+// targets of a service leave while their entries still change, or while the daemon that reads the store
+// loses it.
+func TestLeavingTargetsGetNoFlowsPastBound(t *testing.T) {
+	t.Parallel()
+	for name, disturb := range map[string]func(run *flowRun){
+		"in planned work alone":   func(*flowRun) {},
+		"readers lose the store":  func(run *flowRun) { run.silenceReaders(3 * time.Second) },
+		"daemons start meanwhile": func(run *flowRun) { run.restart(run.random.IntN(flowDaemons), 200*time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			forEachSeed(t, func(t *testing.T, seed uint64) {
+				run := startFlowRun(seed)
+				for _, service := range []string{"ledger", "roster", "ledger"} {
+					run.leaveWhileCold(service)
+					run.Clock.After(run.randomDuration(0, time.Second), func() { disturb(run) })
+					for range 6 * flowsPerSecond {
+						run.beginFlow()
+						run.Clock.Advance(time.Second / flowsPerSecond)
+					}
+					for range 3 {
+						run.add(service, run.freshAddress())
+					}
+					run.Clock.Advance(2 * time.Second)
+				}
+				assert.Equal(t, len(run.Violations), 0, "seed %d: %v", seed, run.Violations)
+			})
+		})
+	}
+}
--- a/internal/simulation/flows_targets.go
+++ b/internal/simulation/flows_targets.go
@@ -24,9 +24,23 @@
 	LeavingAt time.Time
 
 	startedAt time.Time
+	// slowStart is how long the target is in slow start.
+	slowStart time.Duration
 	flows     map[*Flow]bool
 }
 
+// renewalInterval is the time between two writes of a target's entry.
+const renewalInterval = 1200 * time.Millisecond
+
+// entry returns what a target writes at a time.
+func (t *FlowTarget) entry(now time.Time, isDraining bool) *storeview.Target {
+	age := now.Sub(t.startedAt)
+	return &storeview.Target{
+		Identifier: t.Identifier, Service: t.Service, Address: t.Address, Zone: t.Zone, Slots: 2, Draining: isDraining,
+		SlowStartRemaining: max(0, t.slowStart-age), Sequence: 1 + uint64(age/renewalInterval),
+	}
+}
+
 // isServing reports whether the target processes packets of callers.
 func (t *FlowTarget) isServing() bool { return t.Alive && !t.Mute }
 
@@ -43,16 +57,50 @@
 }
 
 func (m *FlowModel) putTarget(target *FlowTarget, draining bool) {
-	entry := &storeview.Target{
-		Identifier: target.Identifier, Service: target.Service, Address: target.Address,
-		Zone: target.Zone, Slots: 2, Draining: draining,
-	}
+	entry := target.entry(m.Clock.Now(), draining)
 	if !m.OmitIncarnations {
 		entry.Incarnation = uint64(target.startedAt.UnixMilli())
 	}
 	m.Store.Put(storeview.Entry{Key: target.Key, Target: entry})
 }
 
+// AddColdTarget starts a target in slow start, whose entry changes with each renewal until it is warm.
+func (m *FlowModel) AddColdTarget(service, zone string, address netip.AddrPort, slowStart time.Duration) *FlowTarget {
+	target := m.AddTarget(service, zone, address)
+	target.slowStart = slowStart
+	m.putTarget(target, false)
+	var renew func()
+	renew = func() {
+		if !target.Alive {
+			return
+		}
+		m.putTarget(target, !target.LeavingAt.IsZero())
+		if m.Clock.Now().Sub(target.startedAt) < slowStart {
+			m.Clock.After(renewalInterval, renew)
+		}
+	}
+	m.Clock.After(renewalInterval, renew)
+	return target
+}
+
+// ReplaceCrashedTarget crashes a target, starts another one at its address after downtime, and has the
+// store apply the last write of the crashed one only after delay. Its entry expires entryTTL after
+// the last write that the store applied.
+func (m *FlowModel) ReplaceCrashedTarget(target *FlowTarget, downtime, delay time.Duration, started func(later *FlowTarget)) {
+	m.stopTarget(target)
+	late := target.entry(m.Clock.Now(), false)
+	late.Sequence++
+	remove := func() { m.Store.Put(storeview.Entry{Key: target.Key}) }
+	if delay > entryTTL {
+		m.Clock.After(entryTTL, remove)
+	}
+	m.Clock.After(delay, func() {
+		m.Store.Put(storeview.Entry{Key: target.Key, Target: late})
+		m.Clock.After(entryTTL, remove)
+	})
+	m.Clock.After(downtime, func() { started(m.AddTarget(target.Service, target.Zone, target.Address)) })
+}
+
 // DrainTarget marks a target as draining, then stops it and removes its entry.
 func (m *FlowModel) DrainTarget(target *FlowTarget) {
 	target.LeavingAt = m.Clock.Now()
