token: requests that timed out count as unanswered at a contested address

TestCallersOfReplacedTargetAreToldAtOnce, new: callers of a crashed target are reset within 0.3 s of the start of its successor, and within 1.3 s if the crashed one had itself started less than 6 s before. The second case failed: callers waited until the entry expired, as no request counted as waiting at the decision. Cause, seen in a trace of the simulation: a request stops counting as waiting when it times out, which is sooner than the 0.5 s of silence that the decision needs.

A target that is no longer contested forgets the decision, so that a later contest begins anew.

--- a/internal/simulation/delayed_writes_test.go
+++ b/internal/simulation/delayed_writes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -125,3 +126,35 @@
 		})
 	}
 }
+
+// TestCallersOfReplacedTargetAreToldAtOnce checks that callers of a crashed target are reset soon after
+// another one has started at its address, whose probes are answered.
+func TestCallersOfReplacedTargetAreToldAtOnce(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		age, bound time.Duration
+	}{
+		"target that started long ago": {age: 10 * time.Second, bound: notificationBound},
+		"target that started just now": {age: 3 * time.Second, bound: notificationBound + time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var flows atomic.Int64
+			t.Cleanup(func() { assert.Assert(t, flows.Load() > 0, "no flow was open at a crashed target") })
+			forEachSeed(t, func(t *testing.T, seed uint64) {
+				run := startFlowRun(seed)
+				run.OmitIncarnations = true
+				run.add("roster", run.freshAddress())
+				crashed := run.activeTargets["roster"][len(run.activeTargets["roster"])-1]
+				run.simulateFor(int(test.age / time.Second))
+				flows.Add(int64(len(crashed.flows)))
+				const downtime = 300 * time.Millisecond
+				run.ReplaceCrashedTarget(crashed, downtime, entryTTL-time.Second, func(*FlowTarget) {})
+				run.Clock.Advance(downtime + requestInterval + test.bound)
+				for flow := range crashed.flows {
+					assert.Assert(t, !flow.Opened || flow.Ended, "seed %d: a caller still waits for the crashed target", seed)
+				}
+			})
+		})
+	}
+}
--- a/internal/steering/token/succession.go
+++ b/internal/steering/token/succession.go
@@ -62,7 +62,8 @@
 		}
 		state := x.successionAt(chain, target)
 		isContested = isContested || state == undecided
-		x.setSuperseded(target, state == ended || state == undecided && target.isUnresponsive)
+		target.isUnresponsive = target.isUnresponsive && state == undecided
+		x.setSuperseded(target, state == ended || target.isUnresponsive)
 	}
 	if isContested {
 		x.contested[address] = struct{}{}
@@ -129,5 +130,5 @@
 		return true
 	}
 	isEarlier := t.Start.Revision < other.Start.Revision
-	return isEarlier && t.Signal.HasWaiting() && now.Sub(since) >= successionSilence
+	return isEarlier && t.Signal.HasUnansweredSince(since) && now.Sub(since) >= successionSilence
 }
--- a/internal/storeview/targets.go
+++ b/internal/storeview/targets.go
@@ -139,7 +139,11 @@
 	if t.Draining {
 		history.Leaving = newLeavingAge(now, t.Leaving)
 	}
-	return Entry{Target: &target, Created: t.Start.Revision, History: history}
+	entry := Entry{Target: &target, History: history}
+	if t.Start.Revision != t.Written {
+		entry.Created = t.Start.Revision
+	}
+	return entry
 }
 
 func (t *KnownTarget) addTo(change *Change, hasNewState bool) {
