--- a/internal/lab/storelab/fault_test.go
+++ b/internal/lab/storelab/fault_test.go
@@ -35,3 +35,16 @@
 		"all at 16.0 s (95d1ef91494f05a0)",
 	})
 }
+
+func TestSeedDrawsSameTargetFaults(t *testing.T) {
+	config := DefaultConfig()
+	var schedule []string
+	for _, fault := range TargetFaults(5001, config.TargetFaults, config.FaultPeriod) {
+		schedule = append(schedule, fmt.Sprint(fault))
+	}
+	assert.DeepEqual(t, schedule, []string{
+		"leave-cold at 11.9 s (2cfbe4b7fd92ff30)",
+		"crash-write-late at 13.4 s (4a243e5eeb5b5420)",
+		"crash-write-late at 9.6 s (fdfc43efde32659a)",
+	})
+}
--- a/internal/lab/storelab/run.go
+++ b/internal/lab/storelab/run.go
@@ -32,14 +32,16 @@
 	// Series is the number of series of signals, restarts and changes to draw in addition to the
 	// faults.
 	Series int
-	Bounds Bounds
+	// TargetFaults is the number of faults of targets and their entries to draw in addition.
+	TargetFaults int
+	Bounds       Bounds
 }
 
 // DefaultConfig returns the configuration of a small run of about a minute.
 func DefaultConfig() Config {
 	return Config{
 		Daemons: 6, Zones: 3, Targets: 5, Callers: 12, Faults: 8,
-		FaultPeriod: 14 * time.Second, Cooldown: 7 * time.Second, Series: 4,
+		FaultPeriod: 14 * time.Second, Cooldown: 7 * time.Second, Series: 4, TargetFaults: 3,
 		Bounds: Bounds{Converge: 5 * time.Second, Drain: 5 * time.Second, Settle: 5 * time.Second, Response: 2500 * time.Millisecond, Recover: 6 * time.Second},
 	}
 }
@@ -94,6 +96,7 @@
 	var wg sync.WaitGroup
 	s.startCallers(callerCtx, &wg)
 	faults := append(Faults(config.Seed, config.Faults, config.FaultPeriod), Series(config.Seed, config.Series, config.FaultPeriod)...)
+	faults = append(faults, TargetFaults(config.Seed, config.TargetFaults, config.FaultPeriod)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	s.inject(ctx, faults)
 	sleep(ctx, config.Bounds.Recover)
@@ -147,12 +150,19 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			action := actions[fault.Action]
-			if action == nil {
-				action = seriesActions[fault.Action]
-			}
+			action := actionOf(fault.Action)
 			action(s, rand.New(rand.NewPCG(fault.Seed, 1)))
 		}()
 	}
 	wg.Wait()
 }
+
+// actionOf returns the action with a name.
+func actionOf(name string) func(s *site, random *rand.Rand) {
+	for _, choices := range []map[string]func(s *site, random *rand.Rand){actions, seriesActions, targetActions} {
+		if action := choices[name]; action != nil {
+			return action
+		}
+	}
+	panic("no action " + name) // schedules are drawn from these actions
+}
--- a/internal/lab/storelab/seeds.go
+++ b/internal/lab/storelab/seeds.go
@@ -3,8 +3,8 @@
 // RegressionSeed is a schedule that once exposed a fault.
 type RegressionSeed struct {
 	Seed uint64
-	// Series is the value of Config.Series in that run.
-	Series int
+	// Series and TargetFaults are the values of the fields of Config in that run.
+	Series, TargetFaults int
 }
 
 // RegressionSeeds are run first by every soak. Each run has the same faults; their timing varies slightly.
@@ -16,4 +16,13 @@
 //     other daemons had opened from retransmissions.
 //   - 817815575: entries of targets had no start time. A restored store contained an ended target at
 //     the address of a newer one, whose open flows were then reset.
-var RegressionSeeds = []RegressionSeed{{Seed: 6}, {Seed: 20}, {Seed: 101, Series: 4}, {Seed: 201, Series: 4}, {Seed: 817815575, Series: 4}}
+//   - 5001: the store applied writes of crashed targets late, and the open flows of their successors were
+//     reset.
+var RegressionSeeds = []RegressionSeed{
+	{Seed: 6},
+	{Seed: 20},
+	{Seed: 101, Series: 4},
+	{Seed: 201, Series: 4},
+	{Seed: 817815575, Series: 4},
+	{Seed: 5001, Series: 4, TargetFaults: 3},
+}
--- a/internal/lab/storelab/site.go
+++ b/internal/lab/storelab/site.go
@@ -230,12 +230,10 @@
 	return started, nil
 }
 
+// putTarget writes a target's entry. The caller must hold the mutex.
 func (s *site) putTarget(t *target, isDraining bool) {
-	s.store.Put(storeview.Entry{Key: platform.TargetKey(t.identifier), Target: &storeview.Target{
-		Identifier: t.identifier, Service: t.service, Address: t.address,
-		Zone: s.zone(int(t.identifier % 3)), Slots: 2, Draining: isDraining,
-		Incarnation: uint64(t.startedAt.UnixMilli()),
-	}})
+	t.isDraining = isDraining
+	s.store.Put(s.entryOf(t, isDraining))
 }
 
 // putConfiguration writes a new configuration to the store and records the changed routes.
--- a/internal/lab/storelab/target.go
+++ b/internal/lab/storelab/target.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/passtray/passtray/internal/steering/token"
@@ -22,9 +23,14 @@
 	callerPort uint16
 	// startedAt is published as the incarnation in the target's entries.
 	startedAt time.Time
-	recorder  *Recorder
-	socket    *net.UDPConn
-	listener  net.Listener
+	// slowStart is how long the target is in slow start. isDraining is the state last written; the
+	// site's mutex guards both.
+	slowStart  time.Duration
+	isDraining bool
+	hasEnded   atomic.Bool
+	recorder   *Recorder
+	socket     *net.UDPConn
+	listener   net.Listener
 
 	mutex sync.Mutex
 	flows map[Flow]*targetFlow
@@ -74,6 +80,7 @@
 
 // end stops the target without notice.
 func (t *target) end() {
+	t.hasEnded.Store(true)
 	t.recorder.Record(Event{Kind: TargetEnded, Target: t.identifier})
 	_ = t.socket.Close()
 	_ = t.listener.Close()
