storeview: the order of starts outlives a restore of the store, and peers that send no history

Found while reading the change: once a restored store's content replaced earlier state, the target's start was forgotten, so that the order of two targets at an address was unknown from then on; and an entry of a peer that runs an earlier version counted as the first write of its target. TestRestoreKeepsOrderOfStarts.

--- a/internal/storeview/delayedwrite_test.go
+++ b/internal/storeview/delayedwrite_test.go
@@ -84,3 +84,25 @@
 	view.Merge(testStart.Add(4*time.Second), []Entry{cold(2, 1, 3*time.Second)})
 	assert.Assert(t, view.Target("a").WarmAt.Equal(testStart.Add(2*time.Second)))
 }
+
+// TestRestoreKeepsOrderOfStarts checks that a target of which a restored store lists an earlier state
+// does not count as started later because of it.
+func TestRestoreKeepsOrderOfStarts(t *testing.T) {
+	at := func(key string, revision, identifier uint64) Entry {
+		return Entry{Key: key, Revision: revision, Target: &Target{Identifier: identifier, Service: "s", Sequence: 1}}
+	}
+	view := New(time.Minute)
+	view.MergeSnapshot(testStart, []Entry{at("a", 1, 1)}, 1)
+	later := testStart.Add(time.Minute)
+	view.Merge(later, []Entry{at("b", 2, 2)})
+	view.AdvanceTo(2)
+	assert.Assert(t, view.Target("b").StartedAfter(view.Target("a")))
+
+	restored := []Entry{at("a", NewRevision(1, 1), 1), at("b", NewRevision(1, 2), 2)}
+	restored[0].Target.SlowStartRemaining = time.Second
+	view.MergeSnapshot(later, restored, NewRevision(1, 2))
+	assert.Assert(t, view.Target("b").StartedAfter(view.Target("a")))
+	finishRestore(view, later.Add(DefaultConfig().RestoreGrace))
+	assert.Assert(t, view.Target("b").StartedAfter(view.Target("a")))
+	assert.Assert(t, !view.Target("a").StartedAfter(view.Target("b")))
+}
--- a/internal/storeview/restoregrace.go
+++ b/internal/storeview/restoregrace.go
@@ -146,7 +146,11 @@
 // finishRestore ends the grace period: the content of the restored store replaces earlier state.
 func (r *lwwMap[K]) finishRestore(now time.Time, change *Change) {
 	for _, key := range slices.Sorted(maps.Keys(r.deferred)) {
-		r.put(r.deferred[key], change)
+		restored := r.deferred[key]
+		if existing, found := r.byKey[key]; found {
+			restored.continueFrom(existing)
+		}
+		r.put(restored, change)
 	}
 	clear(r.deferred)
 	r.dropMissing(now, change)
--- a/internal/storeview/start.go
+++ b/internal/storeview/start.go
@@ -37,7 +37,9 @@
 		return start
 	}
 	// An entry with a later sequence number existed before and expired, or its first write is delayed.
-	start.IsFirstWrite = start.Revision == entry.Revision && entry.Target.Sequence <= 1 && !mayBeRestored
+	// Peers of earlier versions send no history.
+	isFromStore := entry.Age == 0 && !mayBeRestored
+	start.IsFirstWrite = isFromStore && start.Revision == entry.Revision && entry.Target.Sequence <= 1
 	start.SettledAt = now.Add(maxWriteDelay)
 	return start
 }
