token: at a contested address only the target of the earlier entry is reset; names and comments

A response of the earlier target superseded the later one, so that its flows were reset for as long as both entries stood. Such a response may have waited in the socket while the later target started, in a daemon that was slow. Now it only shows that the earlier one is not to be reset.

Names: succeeded, maybeSucceeded, notSucceeded; isSilentBeside; startSlowly in the soak. Comments on settled starts; no other change of behaviour.

--- a/internal/lab/storelab/targetfaults.go
+++ b/internal/lab/storelab/targetfaults.go
@@ -58,14 +58,14 @@
 	})
 }
 
-// drainColdTargets replaces all targets of a service; some of the leaving ones are in slow start. New
-// ones start once the leaving ones must get no more flows.
+// drainColdTargets drains all targets of a service, of which some are in slow start. Others start once
+// the draining ones must get no more flows.
 func (s *site) drainColdTargets(random *rand.Rand) {
 	for range 2 {
 		cold, err := s.addTarget(serviceOther)
 		s.noteStartError(cold, err)
 		if err == nil {
-			s.cool(cold, randomDuration(random, time.Second, maxSlowStart))
+			s.startSlowly(cold, randomDuration(random, time.Second, maxSlowStart))
 		}
 	}
 	time.Sleep(randomDuration(random, 0, maxColdAge))
@@ -79,8 +79,8 @@
 	}
 }
 
-// cool has a target in slow start, so that its entry changes with each renewal until it is warm.
-func (s *site) cool(cold *target, slowStart time.Duration) {
+// startSlowly puts a target in slow start: its entry changes with each renewal until it is warm.
+func (s *site) startSlowly(cold *target, slowStart time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	cold.slowStart = slowStart
@@ -117,8 +117,8 @@
 	return taken
 }
 
-// entryOf returns what a target writes now. Without TargetFaults, and with an even seed, entries tell the
-// incarnation; otherwise only its sequence number and the time of its creation distinguish it.
+// entryOf returns what a target writes now. With an odd seed and target faults, entries lack the
+// incarnation, so that only their sequence numbers and creations tell targets at one address apart.
 func (s *site) entryOf(t *target, isDraining bool) storeview.Entry {
 	age := time.Since(t.startedAt)
 	entry := &storeview.Target{
--- a/internal/steering/token/succession.go
+++ b/internal/steering/token/succession.go
@@ -21,29 +21,29 @@
 type succession uint8
 
 const (
-	// runsOrUnrelated means that the other target is no reason to consider this one ended.
-	runsOrUnrelated succession = iota
-	// undecided means that either of the two may run.
-	undecided
-	// ended means that the other target started later.
-	ended
+	// notSucceeded means that the other target did not take over the address.
+	notSucceeded succession = iota
+	// maybeSucceeded means that either of the two may run.
+	maybeSucceeded
+	// succeeded means that the other target started later, so that this one has ended.
+	succeeded
 )
 
 // successionBy returns what another target at the same address tells about this one.
 func (t *Target) successionBy(other *Target) succession {
 	switch {
 	case other == t || other.isUndeclared || t.StartedAfter(other.KnownTarget):
-		return runsOrUnrelated
+		return notSucceeded
 	case other.StartedAfter(t.KnownTarget):
-		return ended
+		return succeeded
 	case other.IsRemoved:
-		return runsOrUnrelated
+		return notSucceeded
 	case t.IsRemoved && other.isRenewedAfter(t):
-		return ended
+		return succeeded
 	case t.IsRemoved:
-		return runsOrUnrelated
+		return notSucceeded
 	}
-	return undecided
+	return maybeSucceeded
 }
 
 // isRenewedAfter reports whether the target's entry outlived that of another target. An entry that
@@ -61,9 +61,9 @@
 			continue
 		}
 		state := x.successionAt(chain, target)
-		isContested = isContested || state == undecided
-		target.isUnresponsive = target.isUnresponsive && state == undecided
-		x.setSuperseded(target, state == ended || target.isUnresponsive)
+		isContested = isContested || state == maybeSucceeded
+		target.isUnresponsive = target.isUnresponsive && state == maybeSucceeded
+		x.setSuperseded(target, state == succeeded || target.isUnresponsive)
 	}
 	if isContested {
 		x.contested[address] = struct{}{}
@@ -74,7 +74,7 @@
 
 // successionAt returns what the other targets at its address tell about a target.
 func (x *index) successionAt(chain, target *Target) succession {
-	state := runsOrUnrelated
+	state := notSucceeded
 	for other := chain; other != nil; other = other.nextSameAddress {
 		if other.Address == target.Address {
 			state = max(state, target.successionBy(other))
@@ -109,26 +109,30 @@
 // at its address.
 func (x *index) isUnresponsive(now time.Time, chain, target *Target) bool {
 	for other := chain; other != nil; other = other.nextSameAddress {
-		if other.Address == target.Address && target.successionBy(other) == undecided && target.isSilentSince(now, other) {
+		if other.Address == target.Address && target.successionBy(other) == maybeSucceeded && target.isSilentBeside(now, other) {
 			return true
 		}
 	}
 	return false
 }
 
-// isSilentSince reports whether the target has not responded since both were known, while another one
-// at its address has, or while requests waited for it and its entry is the earlier one.
-func (t *Target) isSilentSince(now time.Time, other *Target) bool {
+// isSilentBeside reports whether the target has not responded since it and a later one at its address
+// were both known, although the later one has, or requests to it were left unanswered. Of two
+// targets only the earlier one is reset: a response of it may have waited in the socket while the later
+// one started.
+func (t *Target) isSilentBeside(now time.Time, later *Target) bool {
+	if later.Start.Revision <= t.Start.Revision {
+		return false
+	}
 	since := t.presentSince
-	if other.presentSince.After(since) {
-		since = other.presentSince
+	if later.presentSince.After(since) {
+		since = later.presentSince
 	}
 	switch {
 	case t.Signal.LastActivity().After(since):
 		return false
-	case other.Signal.LastActivity().After(since):
+	case later.Signal.LastActivity().After(since):
 		return true
 	}
-	isEarlier := t.Start.Revision < other.Start.Revision
-	return isEarlier && t.Signal.HasUnansweredSince(since) && now.Sub(since) >= successionSilence
+	return t.Signal.HasUnansweredSince(since) && now.Sub(since) >= successionSilence
 }
--- a/internal/storenode/decision_log.go
+++ b/internal/storenode/decision_log.go
@@ -58,8 +58,9 @@
 	)
 }
 
-// millisecondsSinceConfirmed returns how many milliseconds ago the store confirmed the view, given the
-// number of package monotonic until which that confirmation is valid; -1 if the store has not confirmed it yet.
+// millisecondsSinceConfirmed returns how many milliseconds ago the store confirmed the view, given until
+// when that confirmation is valid, in nanoseconds of package monotonic; -1 if the store has not confirmed
+// it yet.
 func millisecondsSinceConfirmed(until int64) int64 {
 	if until == 0 {
 		return -1
--- a/internal/storeview/start.go
+++ b/internal/storeview/start.go
@@ -20,8 +20,9 @@
 	// IsFirstWrite reports that the target's first write has that revision. If not, the target may
 	// have started long before.
 	IsFirstWrite bool
-	// SettledAt is when a first write at its address, if there was none before, must be that of a
-	// later target: maxWriteDelay after the entry was first seen. The zero time means long ago.
+	// SettledAt is maxWriteDelay after the entry was first seen. A target at its address whose first
+	// write is seen from then on started later, even if that write was delayed. The zero time means
+	// long ago.
 	SettledAt time.Time
 }
 
@@ -80,12 +81,11 @@
 // precedesFirstWriteOf reports whether the entry was first seen so long before that of other that
 // the write of other was made later, even if it was delayed.
 func (s Start) precedesFirstWriteOf(other Start) bool {
-	switch {
-	case !other.SettledAt.IsZero():
-		return !other.SettledAt.Before(s.SettledAt.Add(maxWriteDelay))
-	default:
+	if other.SettledAt.IsZero() {
 		return s.SettledAt.IsZero()
 	}
+	otherFirstSeen := other.SettledAt.Add(-maxWriteDelay)
+	return !otherFirstSeen.Before(s.SettledAt)
 }
 
 // StartedAfter reports whether the target certainly started after another one at its address.
