soak: no SIGHUP to a process whose own code does not run yet

Cause: `hangups` sent it to processes of any age; no program can handle a signal before its own code runs (neither process logged its start). Now each SIGHUP waits until the process is 20 ms old, as those of `hangup-at-start` did; as many are sent as before.

--- a/internal/lab/storelab/daemon.go
+++ b/internal/lab/storelab/daemon.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+	"time"
 
 	"go.yaml.in/yaml/v3"
 )
@@ -27,6 +28,7 @@
 	// was sent SIGTERM or SIGKILL.
 	processNumber int
 	isStopping    bool
+	startedAt     time.Time
 	// onUnexpectedExit is called when a process exits without having been sent either signal.
 	onUnexpectedExit func(d *daemon, state string)
 }
@@ -85,7 +87,7 @@
 		return err
 	}
 	exited := make(chan struct{})
-	d.command, d.exited, d.isStopping = command, exited, false
+	d.command, d.exited, d.isStopping, d.startedAt = command, exited, false, time.Now()
 	d.processNumber++
 	go func() {
 		_ = command.Wait() // ProcessState holds the exit status
@@ -131,6 +133,23 @@
 func (d *daemon) signal(signal os.Signal) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.sendSignal(signal)
+}
+
+// signalStarted sends a signal unless the process started less than startSignalDelay ago, and reports
+// whether it did.
+func (d *daemon) signalStarted(signal os.Signal) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if time.Since(d.startedAt) < startSignalDelay {
+		return false
+	}
+	d.sendSignal(signal)
+	return true
+}
+
+// sendSignal sends a signal. The caller must hold the mutex.
+func (d *daemon) sendSignal(signal os.Signal) {
 	if d.command == nil {
 		return
 	}
--- a/internal/lab/storelab/series.go
+++ b/internal/lab/storelab/series.go
@@ -18,7 +18,7 @@
 	maxRepeatGap = 250 * time.Millisecond
 	// A starting daemon is sent signals for startSignalDuration, at intervals of
 	// startSignalInterval. They begin after startSignalDelay, since no process can handle a
-	// signal before its own code runs.
+	// signal before its own code runs; no other SIGHUP is sent sooner either.
 	startSignalDuration = 300 * time.Millisecond
 	startSignalInterval = 3 * time.Millisecond
 	startSignalDelay    = 20 * time.Millisecond
@@ -120,15 +120,18 @@
 	d := s.randomDaemon(random)
 	<-d.terminate(syscall.SIGTERM)
 	s.startDaemon(d)
-	time.Sleep(startSignalDelay)
 	for start := time.Now(); time.Since(start) < startSignalDuration; time.Sleep(startSignalInterval) {
 		s.sendSignal(d, syscall.SIGHUP)
 	}
 }
 
+// sendSignal sends a signal that must not end the daemon. If its process has just started, it waits
+// until that can handle signals.
 func (s *site) sendSignal(d *daemon, signal syscall.Signal) {
 	s.recorder.Record(Event{Kind: DaemonSignalled, Detail: d.name})
-	d.signal(signal)
+	for !d.signalStarted(signal) {
+		time.Sleep(startSignalInterval)
+	}
 }
 
 // terminateTwice sends SIGTERM to a daemon, then SIGHUP and another SIGTERM while it shuts down.
