--- a/internal/lab/storelab/series.go
+++ b/internal/lab/storelab/series.go
@@ -17,7 +17,7 @@
 	maxRepeats   = 8
 	maxRepeatGap = 250 * time.Millisecond
 	// A starting daemon is sent signals for startSignalDuration, at intervals of
-	// startSignalInterval. They begin after startSignalDelay, since no process can handle a
+	// startSignalInterval. They begin once it has run for startSignalDelay, since no process can handle a
 	// signal before its own code runs; no other SIGHUP is sent sooner either.
 	startSignalDuration = 300 * time.Millisecond
 	startSignalInterval = 3 * time.Millisecond
