storenode: log which target superseded another one, and by what evidence

Cause: a daemon that takes a live target for ended logs its refusals only (dead_target), neither which entry superseded it nor why.

Change: token.Table collects superseded targets with their successor and the evidence (incarnation, first write, expiry, responses); the control loop logs them when they change, at most 20 lines a second.

Test: TestSuccessionsAreReportedWithEvidence.

--- a/internal/steering/token/builder.go
+++ b/internal/steering/token/builder.go
@@ -128,6 +128,7 @@
 func (t *Target) inheritState(previous *Target) {
 	t.LatestIncarnation = t.Incarnation
 	t.presentSince = t.LearnedAt
+	t.wasSuperseded = previous != nil && previous.wasSuperseded
 	if previous != nil && !previous.IsRemoved {
 		t.presentSince, t.isUnresponsive = previous.presentSince, previous.isUnresponsive
 	}
--- a/internal/steering/token/index.go
+++ b/internal/steering/token/index.go
@@ -29,6 +29,9 @@
 	slowStarting map[*Target]struct{}
 	// contested are the addresses of several targets of which any may run.
 	contested map[netip.AddrPort]struct{}
+	// successionChanged are the targets that may have been superseded, or no longer be, since the last
+	// call of TakeSuccessions.
+	successionChanged map[*Target]struct{}
 }
 
 // zone holds the targets of a zone, except superseded ones, and their number by service.
@@ -57,7 +60,7 @@
 	return &index{
 		byMark: make(map[loadshare.Mark]*Target, targets), byAddress: make(map[addressKey]*Target, targets),
 		zones: map[string]*zone{}, services: map[string]*Service{}, slowStarting: map[*Target]struct{}{},
-		contested: map[netip.AddrPort]struct{}{},
+		contested: map[netip.AddrPort]struct{}{}, successionChanged: map[*Target]struct{}{},
 	}
 }
 
@@ -87,12 +90,16 @@
 	mark, address := loadshare.MarkOf(target.Token), addressKeyOf(target.Address)
 	target.nextSameMark, x.byMark[mark] = x.byMark[mark], target
 	target.nextSameAddress, x.byAddress[address] = x.byAddress[address], target
+	if target.wasSuperseded {
+		x.successionChanged[target] = struct{}{}
+	}
 	x.recompute(target)
 }
 
 func (x *index) remove(target *Target) {
 	x.count--
 	x.unindex(target)
+	delete(x.successionChanged, target)
 	mark, address := loadshare.MarkOf(target.Token), addressKeyOf(target.Address)
 	unlink(x.byMark, mark, target, func(t *Target) **Target { return &t.nextSameMark })
 	unlink(x.byAddress, address, target, func(t *Target) **Target { return &t.nextSameAddress })
@@ -154,6 +161,7 @@
 		return
 	}
 	target.IsSuperseded = isSuperseded
+	x.successionChanged[target] = struct{}{}
 	if isSuperseded {
 		x.superseded++
 	} else {
--- a/internal/steering/token/succession.go
+++ b/internal/steering/token/succession.go
@@ -1,7 +1,9 @@
 package token
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/passtray/passtray/internal/storeview"
@@ -53,6 +55,73 @@
 	return isOfOneEpoch && t.Written > other.Written && !t.MayBeDelayedWrite()
 }
 
+// Evidence that a target took over the address of another one.
+const (
+	EvidenceIncarnation = "later incarnation"
+	EvidenceFirstWrite  = "first write after the other target was known"
+	EvidenceExpiry      = "entry outlived that of the other target"
+	EvidenceResponses   = "other target does not respond"
+)
+
+// evidenceOf returns what shows that another target took over the address of this one, "" if nothing
+// does.
+func (t *Target) evidenceOf(other *Target) string {
+	state := t.successionBy(other)
+	switch {
+	case state == succeeded && t.Incarnation != other.Incarnation && other.StartedAfter(t.KnownTarget):
+		return EvidenceIncarnation
+	case state == succeeded && other.StartedAfter(t.KnownTarget):
+		return EvidenceFirstWrite
+	case state == succeeded:
+		return EvidenceExpiry
+	case state == maybeSucceeded && t.isUnresponsive:
+		return EvidenceResponses
+	}
+	return ""
+}
+
+// Succession reports that a target was superseded by another one at its address, or no longer is.
+type Succession struct {
+	Target *Target
+	// By is the target that runs at the address, and Evidence what shows that. By is nil if Target
+	// counts as running again.
+	By       *Target
+	Evidence string
+}
+
+// TakeSuccessions returns the targets that were superseded, or no longer are, since the last call. It
+// must not be called while the table is in use.
+func (t *Table) TakeSuccessions() []Succession {
+	var successions []Succession
+	for target := range t.index.successionChanged {
+		if target.IsSuperseded != target.wasSuperseded && t.index.known(target.Identifier, target.Key) == target {
+			successions = append(successions, t.index.successionOf(target))
+			target.wasSuperseded = target.IsSuperseded
+		}
+	}
+	clear(t.index.successionChanged)
+	slices.SortFunc(successions, func(a, b Succession) int { return cmp.Compare(a.Target.Key, b.Target.Key) })
+	return successions
+}
+
+// successionOf returns by which other target one is superseded. Of several, it is the one that
+// started last.
+func (x *index) successionOf(target *Target) Succession {
+	succession := Succession{Target: target}
+	if !target.IsSuperseded {
+		return succession
+	}
+	for other := x.byAddress[addressKeyOf(target.Address)]; other != nil; other = other.nextSameAddress {
+		if other.Address != target.Address || succession.By != nil && other.Start.Revision < succession.By.Start.Revision {
+			continue
+		}
+		if evidence := target.evidenceOf(other); evidence != "" {
+			succession.By, succession.Evidence = other, evidence
+		}
+	}
+	return succession
+}
+
 // updateSuperseded recomputes which targets at an address have ended.
 func (x *index) updateSuperseded(chain *Target, address netip.AddrPort) {
 	isContested := false
--- a/internal/steering/token/succession_test.go
+++ b/internal/steering/token/succession_test.go
@@ -1,6 +1,7 @@
 package token
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -152,3 +153,49 @@
 		assert.Equal(t, site.follow(rosterAddress, 1, Of(100)).Action, Forward)
 	})
 }
+
+// TestSuccessionsAreReportedWithEvidence checks what is logged of superseded targets.
+func TestSuccessionsAreReportedWithEvidence(t *testing.T) {
+	take := func(site *site) (found []string) {
+		for _, succession := range site.table.TakeSuccessions() {
+			by := "nobody"
+			if succession.By != nil {
+				by = fmt.Sprintf("%d: %s", succession.By.Identifier, succession.Evidence)
+			}
+			found = append(found, fmt.Sprintf("%d by %s", succession.Target.Identifier, by))
+		}
+		return found
+	}
+	t.Run("first write", func(t *testing.T) {
+		site := newSuccession(t)
+		assert.DeepEqual(t, take(site), []string{"100 by 300: " + EvidenceFirstWrite})
+		site.rewrite("roster-0", 100, 37)
+		site.rewrite("new", 300, 2)
+		assert.Equal(t, len(take(site)), 0, "reported once")
+	})
+	t.Run("incarnation", func(t *testing.T) {
+		site := newSite(t)
+		site.target("roster-0", 100, "roster", func(target *storeview.Target) { target.Incarnation = 1 })
+		site.target("new", 300, "roster", func(target *storeview.Target) {
+			atRoster0Address(target)
+			target.Incarnation = 2
+		})
+		assert.DeepEqual(t, take(site), []string{"100 by 300: " + EvidenceIncarnation})
+	})
+	t.Run("expiry", func(t *testing.T) {
+		site := newSite(t)
+		site.rewrite("new", 300, 1)
+		site.remove("roster-0")
+		assert.DeepEqual(t, take(site), []string{"100 by 300: " + EvidenceExpiry})
+	})
+	t.Run("responses, until the other entry expires", func(t *testing.T) {
+		site := newSite(t)
+		site.rewrite("new", 300, 1)
+		site.now = site.now.Add(100 * time.Millisecond)
+		site.table.targetByIdentifier(300).Signal.RecordActivity(site.now)
+		assert.Assert(t, site.table.ResolveContested(site.now))
+		assert.DeepEqual(t, take(site), []string{"100 by 300: " + EvidenceResponses})
+		site.remove("new")
+		assert.DeepEqual(t, take(site), []string{"100 by nobody"})
+	})
+}
--- a/internal/storenode/resets.go
+++ b/internal/storenode/resets.go
@@ -83,6 +83,7 @@
 	}
 	hasNew := false
 	n.plane.withLock(func() { hasNew = table.ResolveContested(now) })
+	n.logSuccessions(table)
 	if hasNew {
 		n.plane.mayHaveIdleResets = true
 		n.resetIdle(now, table)
--- /dev/null
+++ b/internal/storenode/successions.go
@@ -0,0 +1,50 @@
+package storenode
+
+import (
+	"strconv"
+
+	"github.com/passtray/passtray/internal/steering/token"
+	"github.com/passtray/passtray/internal/telemetry"
+)
+
+const (
+	messageSuperseded    = "target superseded"
+	messageNotSuperseded = "target no longer superseded"
+
+	// successionLinesPerSecond and successionLineBurst limit the log lines about superseded targets.
+	successionLinesPerSecond = 20
+	successionLineBurst      = 100
+)
+
+func newSuccessionLogLimiter() *telemetry.LogLimiter {
+	return telemetry.NewLogLimiter(1, successionLinesPerSecond, successionLineBurst)
+}
+
+// logSuccessions logs which targets were superseded since its last call, and by what evidence.
+func (n *Node) logSuccessions(table *token.Table) {
+	var successions []token.Succession
+	n.plane.withLock(func() { successions = table.TakeSuccessions() })
+	for index := range successions {
+		if n.successionLog.Allow(0) {
+			n.logSuccession(&successions[index])
+		}
+	}
+	if suppressed := n.successionLog.TakeSuppressed(0); suppressed > 0 {
+		n.log.Info(messageSuppressed, telemetry.FieldReason, messageSuperseded, telemetry.FieldCount, suppressed)
+	}
+}
+
+func (n *Node) logSuccession(succession *token.Succession) {
+	target := strconv.FormatUint(succession.Target.Identifier, 16)
+	address := succession.Target.Address.String()
+	if succession.By == nil {
+		n.log.Info(messageNotSuperseded, telemetry.FieldTarget, target, telemetry.FieldAddress, address)
+		return
+	}
+	n.log.Info(messageSuperseded,
+		telemetry.FieldTarget, target,
+		telemetry.FieldAddress, address,
+		telemetry.FieldSuccessor, strconv.FormatUint(succession.By.Identifier, 16),
+		telemetry.FieldReason, succession.Evidence,
+	)
+}
