membership: a daemon restarted after a jump of its clock is known at once

What callers saw: nothing so far. A daemon killed on a machine whose time of day had jumped back was unknown to its peers after its restart: no gossip, no part in refuting suspicions of targets.

Cause: of two live incarnations at an address the one with the lower start number was declared dead, and start numbers come from the time of day.

Ruled out: the numbers of reports on open flows and speeds; they expire after 5 s and cost balance only.

Change: a member announces that an earlier incarnation at its own address with a higher start number has ended; who hears of an unknown incarnation with a lower number pings the address instead of declaring it dead; records of ended members are applied first.

--- a/internal/membership/update.go
+++ b/internal/membership/update.go
@@ -3,15 +3,35 @@
 import (
 	"math"
 	"time"
+
+	"github.com/passtray/passtray/internal/identity"
 )
 
+// applyUpdates applies updates of members. Those of ended members go first, since one of them may be
+// the earlier incarnation of a live one.
+func (g *Group) applyUpdates(now time.Time, updates []Member, output *Output) {
+	for _, isLive := range []bool{false, true} {
+		for index := range updates {
+			if updates[index].IsLive() == isLive {
+				g.applyUpdate(now, updates[index], output)
+			}
+		}
+	}
+}
+
 // applyUpdate applies an update of one member if it overrides the known record.
 func (g *Group) applyUpdate(now time.Time, update Member, output *Output) {
 	if update.Identity == g.self.Identity {
 		g.refute(update)
 		return
 	}
-	if update.Identity.Address == g.self.Identity.Address || !update.Identity.Address.IsValid() {
+	if update.Identity.Address == g.self.Identity.Address {
+		if update.IsLive() {
+			g.endPredecessor(update.Identity)
+		}
+		return
+	}
+	if !update.Identity.Address.IsValid() {
 		return
 	}
 	known := g.members[update.Identity]
@@ -22,6 +42,10 @@
 		if !update.IsLive() && update.Status != Left && update.Status != Dead {
 			return
 		}
+		if incumbent, found := g.LiveAt(update.Identity.Address); found && update.IsLive() && update.Identity.Start < incumbent.Identity.Start {
+			g.pingIncumbent(incumbent.Identity, output)
+			return
+		}
 		known = &memberState{Member: Member{Identity: update.Identity}}
 		g.members[update.Identity] = known
 	}
@@ -51,7 +75,7 @@
 
 // supersede declares the older of two live identities at one address dead, since only one process can
 // run there. Start numbers decide which is older. They depend on the machines' clocks, so a lower
-// start is accepted where the other identity is no longer live.
+// start is accepted where the other identity is no longer live; see endPredecessor.
 func (g *Group) supersede(now time.Time, state *memberState, output *Output) {
 	if !state.IsLive() {
 		return
@@ -92,6 +116,36 @@
 	g.queue.addMember(g.self)
 }
 
+// pingIncumbent pings a live member at whose address an incarnation with a lower start number was
+// reported. Either the report is old or the clock was set back; in that case the reply announces that
+// the incumbent has ended.
+func (g *Group) pingIncumbent(incumbent identity.Identity, output *Output) {
+	g.sequence++
+	ping := message{Kind: kindPing, Sequence: g.sequence, Target: incumbent, Updates: g.ownRecords()}
+	g.sendMessage(incumbent.Address, ping, 0, output)
+}
+
+// endPredecessor announces that an earlier incarnation at this member's address has ended, if its
+// start number is higher: the clock was set back since, so that others would hold this member for the
+// older one until they detect the failure of its predecessor.
+func (g *Group) endPredecessor(predecessor identity.Identity) {
+	if g.leaving || predecessor.Start <= g.self.Identity.Start {
+		return
+	}
+	g.predecessor = g.self
+	g.predecessor.Identity, g.predecessor.Status = predecessor, Left
+	g.queue.addMember(g.predecessor)
+	g.queue.addMember(g.self)
+}
+
+// ownRecords returns the records with which this member announces itself.
+func (g *Group) ownRecords() []Member {
+	if g.predecessor.Identity.IsZero() {
+		return []Member{g.self}
+	}
+	return []Member{g.predecessor, g.self}
+}
+
 func (g *Group) suspicionTimeout() time.Duration {
 	scale := math.Max(1, math.Log10(float64(len(g.members)+1)))
 	return time.Duration(float64(g.config.SuspicionMultiplier) * scale * float64(g.config.ProbeInterval))
