storeview: a delayed first write is no later start, whoever is asked and when

Cause, seen in the new log lines ("target superseded ... first write after the other target was known"): peers were told how long it takes until a start is settled, 0 once it is. From then on every daemon that asked, and by that every daemon that absorbed an answer, took the running target for one known since ever, and the crashed one, whose only write the store had applied 4 s after the other's, for one that started later. Also, when a write was made was told from when it was seen, which is late where the store could not be followed.

Ruled out: verdicts of the failure detector (none logged); the revisions of writes (the evidence logged is another).

Change: a start has the time at which its entry was first seen and one at which the store did not have it yet; peers are sent both as ages. A first write was made after another target started if the store lacked it 7 s (6 s for the write, 1 s for messages) after that one was seen. Peers of earlier versions are sent what they had before.

Tests: TestDelayedFirstWriteIsNoLaterStart, TestFirstWriteLearnedLateIsNoLaterStart and TestStartAfterClockStep failed before; TestLaterFirstWriteIsLaterStart holds the other way. Tests that expect an order of starts now say until when the store was followed, as a daemon does.

--- a/internal/steering/token/dead_test.go
+++ b/internal/steering/token/dead_test.go
@@ -58,6 +58,7 @@
 		t.Run(name, func(t *testing.T) {
 			site := newSite(t)
 			site.now = site.now.Add(time.Minute)
+			site.view.SetConfirmedAt(site.now)
 			site.target("new", 300, "ledger", atRoster0Address)
 			leave(site)
 			refused := site.follow(rosterAddress, 1, Of(100))
--- a/internal/steering/token/succession_test.go
+++ b/internal/steering/token/succession_test.go
@@ -10,8 +10,9 @@
 	"github.com/passtray/passtray/internal/storeview"
 )
 
-// rewrite writes an entry of the target that ended at roster-0's address again.
+// rewrite writes an entry of a target at roster-0's address, while the store is followed without delay.
 func (s *site) rewrite(key string, identifier, sequence uint64) {
+	s.view.SetConfirmedAt(s.now)
 	s.target(key, identifier, "roster", func(target *storeview.Target) {
 		atRoster0Address(target)
 		target.Sequence = sequence
--- a/internal/storeview/delayedwrite_test.go
+++ b/internal/storeview/delayedwrite_test.go
@@ -94,6 +94,7 @@
 	view := New(time.Minute)
 	view.MergeSnapshot(testStart, []Entry{at("a", 1, 1)}, 1)
 	later := testStart.Add(time.Minute)
+	view.SetConfirmedAt(later)
 	view.Merge(later, []Entry{at("b", 2, 2)})
 	view.AdvanceTo(2)
 	assert.Assert(t, view.Target("b").StartedAfter(view.Target("a")))
@@ -106,3 +107,79 @@
 	assert.Assert(t, view.Target("b").StartedAfter(view.Target("a")))
 	assert.Assert(t, !view.Target("a").StartedAfter(view.Target("b")))
 }
+
+// firstWrite returns the first write of a target with a key of its own.
+func firstWrite(revision, identifier uint64) Entry {
+	return Entry{Key: string(rune('a' + identifier)), Revision: revision, Target: &Target{Identifier: identifier, Service: "s", Sequence: 1}}
+}
+
+// follow merges an entry at a time up to which the store was followed without delay.
+func follow(view *View, at time.Time, entry Entry) {
+	view.SetConfirmedAt(at)
+	view.Merge(at, []Entry{entry})
+	view.AdvanceTo(entry.Revision)
+}
+
+// TestDelayedFirstWriteIsNoLaterStart guards against taking a target that runs for ended after the
+// store applied the only write of a target that crashed before, at daemons that learn of both from a
+// peer, whenever they ask.
+func TestDelayedFirstWriteIsNoLaterStart(t *testing.T) {
+	const running, crashed = 1, 2
+	for _, delay := range []time.Duration{0, time.Second, 4 * time.Second, maxWriteDelay} {
+		view := New(time.Minute)
+		follow(view, testStart, firstWrite(1, running))
+		applied := testStart.Add(delay)
+		follow(view, applied, firstWrite(2, crashed))
+		assertUndecided := func(t *testing.T, of *View) {
+			t.Helper()
+			assert.Assert(t, !of.Target("c").StartedAfter(of.Target("b")), "after a delay of %s", delay)
+			assert.Assert(t, !of.Target("b").StartedAfter(of.Target("c")), "after a delay of %s", delay)
+		}
+		assertUndecided(t, view)
+		for elapsed := time.Duration(0); elapsed < 3*time.Minute; elapsed += 500 * time.Millisecond {
+			now := applied.Add(elapsed)
+			started := New(time.Minute)
+			started.Merge(now, view.EntriesSince(now, 0, Held{}))
+			assertUndecided(t, started)
+			view.Merge(now, started.EntriesSince(now, 0, Held{}))
+			assertUndecided(t, view)
+		}
+	}
+}
+
+// TestFirstWriteLearnedLateIsNoLaterStart guards against taking a target that runs for ended if the first
+// write of one that crashed before is seen late, since the store could not be followed meanwhile.
+func TestFirstWriteLearnedLateIsNoLaterStart(t *testing.T) {
+	view := New(time.Minute)
+	follow(view, testStart, firstWrite(1, 1))
+	view.Merge(testStart.Add(time.Minute), []Entry{firstWrite(2, 2)})
+	assert.Assert(t, !view.Target("c").StartedAfter(view.Target("b")))
+}
+
+// TestLaterFirstWriteIsLaterStart checks that a target counts as started later if its first write was
+// made after the other one was seen, also at daemons that learn of both from a peer.
+func TestLaterFirstWriteIsLaterStart(t *testing.T) {
+	view := New(time.Minute)
+	follow(view, testStart, firstWrite(1, 1))
+	applied := testStart.Add(maxWriteDelay + propagationMargin + time.Millisecond)
+	follow(view, applied, firstWrite(2, 2))
+	assert.Assert(t, view.Target("c").StartedAfter(view.Target("b")))
+	for _, elapsed := range []time.Duration{0, time.Second, 30 * time.Second, maxSentStartAge - maxWriteDelay - propagationMargin - time.Second} {
+		now := applied.Add(elapsed)
+		started := New(time.Minute)
+		started.Merge(now, view.EntriesSince(now, 0, Held{}))
+		assert.Assert(t, started.Target("c").StartedAfter(started.Target("b")), "after %s", elapsed)
+	}
+}
+
+// TestStartAfterClockStep guards against the incarnation of a target whose clock was set back: it does
+// not order starts against the writes.
+func TestStartAfterClockStep(t *testing.T) {
+	view := New(time.Minute)
+	earlier, later := firstWrite(1, 1), firstWrite(2, 2)
+	earlier.Target.Incarnation, later.Target.Incarnation = 9, 5
+	follow(view, testStart, earlier)
+	follow(view, testStart.Add(time.Minute), later)
+	assert.Assert(t, view.Target("c").StartedAfter(view.Target("b")))
+	assert.Assert(t, !view.Target("b").StartedAfter(view.Target("c")))
+}
--- a/internal/storeview/targets.go
+++ b/internal/storeview/targets.go
@@ -135,7 +135,8 @@
 		// The receiver counts from LearnedAt, which it derives from the entry's age.
 		target.SlowStartRemaining += max(0, now.Sub(t.LearnedAt))
 	}
-	history := &TargetHistory{IsFirstWrite: t.Start.IsFirstWrite, Unsettled: t.Start.unsettled(now)}
+	history := &TargetHistory{}
+	t.Start.addTo(history, now)
 	if t.Draining {
 		history.Leaving = newLeavingAge(now, t.Leaving)
 	}
