token: a change of the successor's entry does not revive the target that it succeeded

What callers saw: for up to a tick of 50 ms after each change of the entry of a target that took over an address, flows of the ended target were forwarded and new flows opened there.

Cause, seen in the log lines of successions ("no longer superseded", then "superseded" again 40 ms later, at each renewal in slow start): the index removed the earlier state of a changed target, decided anew without it, and added the later one.

Change: index.replace keeps what is known of the other targets at the address.

Test: TestResponsesShowWhichTargetRuns/the_entry_of_the_new_one_changes failed before.

--- a/internal/steering/token/builder.go
+++ b/internal/steering/token/builder.go
@@ -55,7 +55,7 @@
 	b.services = b.declaredServices()
 	b.index.services = b.services
 	for _, entry := range targets {
-		b.add(entry, previous.known(entry.Identifier, entry.Key))
+		b.index.add(b.newTarget(entry, previous.known(entry.Identifier, entry.Key)))
 	}
 	b.pruneLoads()
 	return b.table(now)
@@ -86,25 +86,28 @@
 
 // update replaces one target in the index by its state in the view.
 func (b *Builder) update(view *storeview.View, altered *storeview.KnownTarget) {
-	previous := b.index.known(altered.Identifier, altered.Key)
-	if previous != nil {
+	previous, current := b.index.known(altered.Identifier, altered.Key), view.Target(altered.Key)
+	if previous != nil && (current == nil || current.Identifier != altered.Identifier) {
 		b.index.remove(previous)
 	}
-	current := view.Target(altered.Key)
-	if current == nil {
-		return
+	if current != nil {
+		// The entry may now describe another target, which may be indexed already.
+		b.put(current, b.index.known(current.Identifier, current.Key))
 	}
-	if current.Identifier != altered.Identifier {
-		// The entry now describes another target, which may be indexed already.
-		if previous = b.index.known(current.Identifier, current.Key); previous != nil {
-			b.index.remove(previous)
-		}
+}
+
+// put adds a target to the index, in place of its earlier state if that is not nil.
+func (b *Builder) put(entry *storeview.KnownTarget, previous *Target) {
+	target := b.newTarget(entry, previous)
+	if previous == nil {
+		b.index.add(target)
+	} else {
+		b.index.replace(previous, target)
 	}
-	b.add(current, previous)
 }
 
-// add adds a target to the index. previous is its earlier state, nil if it was unknown.
-func (b *Builder) add(entry *storeview.KnownTarget, previous *Target) {
+// newTarget returns the target of an entry. previous is its earlier state, nil if it was unknown.
+func (b *Builder) newTarget(entry *storeview.KnownTarget, previous *Target) *Target {
 	service := b.services[entry.Service]
 	isEvacuated := b.evacuated[entry.Zone]
 	target := &Target{
@@ -119,7 +122,7 @@
 		target.Load = load
 	}
 	target.inheritState(previous)
-	b.index.add(target)
+	return target
 }
 
 // inheritState takes over the signal of the target's previous state. A new incarnation starts with
--- a/internal/steering/token/index.go
+++ b/internal/steering/token/index.go
@@ -97,6 +97,23 @@
 }
 
 func (x *index) remove(target *Target) {
+	x.detach(target)
+	x.recompute(target)
+}
+
+// replace replaces a target by a later state of it. If that has the same address, what is known of the
+// others there is kept.
+func (x *index) replace(previous, target *Target) {
+	if previous.Address == target.Address && previous.Token == target.Token {
+		x.detach(previous)
+	} else {
+		x.remove(previous)
+	}
+	x.add(target)
+}
+
+// detach removes a target without updating the others with its token or address.
+func (x *index) detach(target *Target) {
 	x.count--
 	x.unindex(target)
 	delete(x.successionChanged, target)
@@ -106,7 +123,6 @@
 	if target.IsSuperseded {
 		x.superseded--
 	}
-	x.recompute(target)
 }
 
 // unlink removes a target from a linked list; next returns the link field of an element.
--- a/internal/steering/token/succession_test.go
+++ b/internal/steering/token/succession_test.go
@@ -145,6 +145,13 @@
 			assert.Equal(t, site.follow(rosterAddress, 1, Of(identifier)).Action, Forward)
 		}
 	})
+	t.Run("the entry of the new one changes", func(t *testing.T) {
+		site := newContest(t)
+		signal(site, 300).Signal.RecordActivity(site.now)
+		assert.Assert(t, site.table.ResolveContested(site.now))
+		site.rewrite("new", 300, 2)
+		site.assertRuns(t, 300, 100)
+	})
 	t.Run("a delayed write of the new one expires", func(t *testing.T) {
 		site := newContest(t)
 		signal(site, 100).Signal.AddPending(1)
