token: silence of a target is no proof that another one took over its address

Cause, seen in the log lines ("target superseded ... other target does not respond"): a contested target counted as ended if it left a request unanswered for 0.5 s. It may as well be slow, or the routers have moved its flows to other daemons, where the acknowledgements arrive.

Change: only a response of the later target shows that the earlier one has ended. Daemons gossip that they saw one, so that it counts everywhere, and none has to wait for a caller of its own.

Ruled out: more silence, or of more flows: a target in slow start leaves all of them unanswered. Probes: any target at the address answers them.

--- a/internal/followed/gossip.go
+++ b/internal/followed/gossip.go
@@ -15,6 +15,19 @@
 type gossipMessage struct {
 	Delta   *Delta           `cbor:"1,keyasint,omitempty"`
 	Reports []outlier.Report `cbor:"2,keyasint,omitempty"`
+	// Successions are targets that others were seen to have succeeded at their addresses.
+	Successions []storeview.Succession `cbor:"3,keyasint,omitempty"`
+}
+
+// maxSuccessions bounds the successions in one message, some 30 bytes each.
+const maxSuccessions = 16
+
+// ReportSuccessions gossips the successions that this daemon has seen. Those beyond maxSuccessions
+// are left to the responses that other daemons see.
+func (f *Fleet) ReportSuccessions(successions []storeview.Succession) {
+	if len(successions) > 0 {
+		f.group.Broadcast(encode(gossipMessage{Successions: successions[:min(len(successions), maxSuccessions)]}))
+	}
 }
 
 // Report gossips this daemon's reports on targets.
@@ -31,6 +44,7 @@
 		return
 	}
 	into.Reports = append(into.Reports, received.Reports...)
+	into.Successions = append(into.Successions, received.Successions...)
 	if received.Delta != nil {
 		f.handleLargeUpdate(now, received.Delta)
 		f.applyDelta(now, received.Delta, into)
--- a/internal/simulation/flows_targets.go
+++ b/internal/simulation/flows_targets.go
@@ -46,18 +46,28 @@
 
 // AddTarget starts a target at an address and registers it in the store.
 func (m *FlowModel) AddTarget(service, zone string, address netip.AddrPort) *FlowTarget {
+	target := m.newTarget(service, zone, address)
+	m.putTarget(target, false)
+	return target
+}
+
+// newTarget starts a target at an address.
+func (m *FlowModel) newTarget(service, zone string, address netip.AddrPort) *FlowTarget {
 	m.targetCount++
 	target := &FlowTarget{
 		Key: fmt.Sprint("target-", m.targetCount), Identifier: 0x1_0000_0000 + uint64(m.targetCount), Service: service,
 		Address: address, Zone: zone, Alive: true, startedAt: m.Clock.Now(), flows: map[*Flow]bool{},
 	}
 	m.targets[address] = target
-	m.putTarget(target, false)
 	return target
 }
 
 func (m *FlowModel) putTarget(target *FlowTarget, draining bool) {
-	entry := target.entry(m.Clock.Now(), draining)
+	m.applyWrite(target, target.entry(m.Clock.Now(), draining))
+}
+
+// applyWrite has the store apply what a target wrote.
+func (m *FlowModel) applyWrite(target *FlowTarget, entry *storeview.Target) {
 	if !m.OmitIncarnations {
 		entry.Incarnation = uint64(target.startedAt.UnixMilli())
 	}
@@ -101,6 +111,26 @@
 	m.Clock.After(downtime, func() { started(m.AddTarget(target.Service, target.Zone, target.Address)) })
 }
 
+// ReplaceTwiceCrashedTarget crashes a target and starts another one at its address after downtime, whose
+// first write is applied only after delay. That one crashes after life, before the store knows it, and a
+// third one starts after downtime.
+func (m *FlowModel) ReplaceTwiceCrashedTarget(target *FlowTarget, downtime, life, delay time.Duration, started func(later *FlowTarget)) {
+	m.stopTarget(target)
+	m.Clock.After(entryTTL, func() { m.Store.Put(storeview.Entry{Key: target.Key}) })
+	m.Clock.After(downtime, func() {
+		unlisted := m.newTarget(target.Service, target.Zone, target.Address)
+		first := unlisted.entry(m.Clock.Now(), false)
+		m.Clock.After(delay, func() {
+			m.applyWrite(unlisted, first)
+			m.Clock.After(entryTTL, func() { m.Store.Put(storeview.Entry{Key: unlisted.Key}) })
+		})
+		m.Clock.After(life, func() {
+			m.stopTarget(unlisted)
+			m.Clock.After(downtime, func() { started(m.AddTarget(target.Service, target.Zone, target.Address)) })
+		})
+	})
+}
+
 // DrainTarget marks a target as draining, then stops it and removes its entry.
 func (m *FlowModel) DrainTarget(target *FlowTarget) {
 	target.LeavingAt = m.Clock.Now()
--- a/internal/steering/token/builder.go
+++ b/internal/steering/token/builder.go
@@ -134,6 +134,7 @@
 	t.wasSuperseded = previous != nil && previous.wasSuperseded
 	if previous != nil && !previous.IsRemoved {
 		t.presentSince, t.isUnresponsive = previous.presentSince, previous.isUnresponsive
+		t.reportedSuccessor = previous.reportedSuccessor
 	}
 	switch {
 	case previous == nil:
--- a/internal/steering/token/succession.go
+++ b/internal/steering/token/succession.go
@@ -15,10 +15,6 @@
 // Resetting the flows of the wrong one would end requests that run; if neither is reset, the callers
 // of the ended one wait a little longer.
 
-// successionSilence is how long a target must leave requests unanswered before its address counts as
-// taken over by a target that may have started later. Answers usually take a fraction of it.
-const successionSilence = 500 * time.Millisecond
-
 // succession is what is known of a target and another one at its address.
 type succession uint8
 
@@ -61,6 +57,7 @@
 	EvidenceFirstWrite  = "first write after the other target was known"
 	EvidenceExpiry      = "entry outlived that of the other target"
 	EvidenceResponses   = "other target does not respond"
+	EvidenceReport      = "other target does not respond, by a report"
 )
 
 // evidenceOf returns what shows that another target took over the address of this one, "" if nothing
@@ -74,6 +71,8 @@
 		return EvidenceFirstWrite
 	case state == succeeded:
 		return EvidenceExpiry
+	case state == maybeSucceeded && t.isUnresponsive && other.Identifier == t.reportedSuccessor:
+		return EvidenceReport
 	case state == maybeSucceeded && t.isUnresponsive:
 		return EvidenceResponses
 	}
@@ -89,6 +88,15 @@
 	Evidence string
 }
 
+// Report returns what to tell other daemons; ok is false if the evidence is not this daemon's own, or
+// known to all.
+func (s *Succession) Report() (report storeview.Succession, ok bool) {
+	if s.By == nil || s.Evidence != EvidenceResponses {
+		return storeview.Succession{}, false
+	}
+	return storeview.Succession{Ended: s.Target.Identifier, Incarnation: s.Target.LatestIncarnation, Successor: s.By.Identifier}, true
+}
+
 // TakeSuccessions returns the targets that were superseded, or no longer are, since the last call. It
 // must not be called while the table is in use.
 func (t *Table) TakeSuccessions() []Succession {
@@ -131,7 +139,9 @@
 		}
 		state := x.successionAt(chain, target)
 		isContested = isContested || state == maybeSucceeded
-		target.isUnresponsive = target.isUnresponsive && state == maybeSucceeded
+		if state != maybeSucceeded {
+			target.isUnresponsive, target.reportedSuccessor = false, 0
+		}
 		x.setSuperseded(target, state == succeeded || target.isUnresponsive)
 	}
 	if isContested {
@@ -155,14 +165,14 @@
 // ResolveContested decides for addresses with several targets, of which the store does not show
 // which one runs, by the responses seen since. It reports whether a target is superseded now that
 // was not before. It must not be called while the table is in use.
-func (t *Table) ResolveContested(now time.Time) bool {
+func (t *Table) ResolveContested() bool {
 	hasNew := false
 	for address := range t.index.contested {
 		chain := t.index.byAddress[addressKeyOf(address)]
 		before := t.index.superseded
 		for target := chain; target != nil; target = target.nextSameAddress {
 			if target.Address == address {
-				target.isUnresponsive = t.index.isUnresponsive(now, chain, target)
+				target.isUnresponsive = t.index.isUnresponsive(chain, target)
 			}
 		}
 		t.index.updateSuperseded(chain, address)
@@ -176,9 +186,12 @@
 
 // isUnresponsive reports whether a target's responses, or their absence, show that another one runs
 // at its address.
-func (x *index) isUnresponsive(now time.Time, chain, target *Target) bool {
+func (x *index) isUnresponsive(chain, target *Target) bool {
 	for other := chain; other != nil; other = other.nextSameAddress {
-		if other.Address == target.Address && target.successionBy(other) == maybeSucceeded && target.isSilentBeside(now, other) {
+		if other.Address != target.Address || target.successionBy(other) != maybeSucceeded {
+			continue
+		}
+		if target.isReportedToYieldTo(other) || target.isSilentBeside(other) {
 			return true
 		}
 	}
@@ -186,22 +199,42 @@
 }
 
 // isSilentBeside reports whether the target has not responded since it and a later one at its address
-// were both known, although the later one has, or requests to it were left unanswered. Of two
-// targets only the earlier one is reset: a response of it may have waited in the socket while the later
-// one started.
-func (t *Target) isSilentBeside(now time.Time, later *Target) bool {
-	if later.Start.Revision <= t.Start.Revision {
-		return false
-	}
-	since := t.presentSince
-	if later.presentSince.After(since) {
-		since = later.presentSince
+// were both known, although the later one has. Of two targets only the earlier one is reset: a response
+// of it may have waited in the socket while the later one started.
+//
+// Silence of the earlier one alone shows nothing: its requests may take long, and the routers may have
+// moved its flows to other daemons.
+func (t *Target) isSilentBeside(later *Target) bool {
+	since := t.contestedSince(later)
+	isLater := later.Start.Revision > t.Start.Revision
+	return isLater && !t.Signal.LastActivity().After(since) && later.Signal.LastActivity().After(since)
+}
+
+// contestedSince returns since when the target and another one are both known.
+func (t *Target) contestedSince(other *Target) time.Time {
+	if other.presentSince.After(t.presentSince) {
+		return other.presentSince
 	}
-	switch {
-	case t.Signal.LastActivity().After(since):
-		return false
-	case later.Signal.LastActivity().After(since):
-		return true
+	return t.presentSince
+}
+
+// isReportedToYieldTo reports whether another daemon has seen responses of a later target, while this
+// one has seen none of the target.
+func (t *Target) isReportedToYieldTo(later *Target) bool {
+	return t.reportedSuccessor == later.Identifier && later.Start.Revision > t.Start.Revision &&
+		!t.Signal.LastActivity().After(t.contestedSince(later))
+}
+
+// NoteSuccessions records what other daemons have seen of targets with the same address.
+// ResolveContested takes it into account.
+func (t *Table) NoteSuccessions(reports []storeview.Succession) {
+	for _, report := range reports {
+		target := t.targetByIdentifier(report.Ended)
+		if target == nil || target.LatestIncarnation != report.Incarnation {
+			continue
+		}
+		if _, isContested := t.index.contested[target.Address]; isContested {
+			target.reportedSuccessor = report.Successor
+		}
 	}
-	return t.Signal.HasUnansweredSince(since) && now.Sub(since) >= successionSilence
 }
--- a/internal/storenode/resets.go
+++ b/internal/storenode/resets.go
@@ -82,8 +82,8 @@
 		return
 	}
 	hasNew := false
-	n.plane.withLock(func() { hasNew = table.ResolveContested(now) })
-	n.logSuccessions(table)
+	n.plane.withLock(func() { hasNew = table.ResolveContested() })
+	n.handleSuccessions(table)
 	if hasNew {
 		n.plane.mayHaveIdleResets = true
 		n.resetIdle(now, table)
--- a/internal/storenode/successions.go
+++ b/internal/storenode/successions.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"github.com/passtray/passtray/internal/steering/token"
+	"github.com/passtray/passtray/internal/storeview"
 	"github.com/passtray/passtray/internal/telemetry"
 )
 
@@ -20,15 +21,29 @@
 	return telemetry.NewLogLimiter(1, successionLinesPerSecond, successionLineBurst)
 }
 
-// logSuccessions logs which targets were superseded since its last call, and by what evidence.
-func (n *Node) logSuccessions(table *token.Table) {
+// noteSuccessions applies what other daemons saw of targets with the same address.
+func (n *Node) noteSuccessions(reports []storeview.Succession) {
+	if table := n.plane.table.Load(); table != nil && len(reports) > 0 {
+		n.plane.withLock(func() { table.NoteSuccessions(reports) })
+	}
+}
+
+// handleSuccessions logs which targets were superseded since its last call, and by what evidence, and
+// tells other daemons of those whose successors were seen to respond.
+func (n *Node) handleSuccessions(table *token.Table) {
 	var successions []token.Succession
 	n.plane.withLock(func() { successions = table.TakeSuccessions() })
+	var seen []storeview.Succession
 	for index := range successions {
+		succession := &successions[index]
 		if n.successionLog.Allow(0) {
-			n.logSuccession(&successions[index])
+			n.logSuccession(succession)
+		}
+		if report, ok := succession.Report(); ok {
+			seen = append(seen, report)
 		}
 	}
+	n.fleet.ReportSuccessions(seen)
 	if suppressed := n.successionLog.TakeSuppressed(0); suppressed > 0 {
 		n.log.Info(messageSuppressed, telemetry.FieldReason, messageSuperseded, telemetry.FieldCount, suppressed)
 	}
