storeview: the reasons of refused entries are bounded, in logs, memory and messages

Cause: the reason quotes the value, and nothing bounds it; each invalid entry is a log line.

Change: a reason has at most 256 bytes, whoever sends it; a merge reports at most 20 of them and the number of the others; at most 20 log lines a second are written about refused entries.

Test: TestReasonsOfInvalidEntriesAreBounded failed before (40 reports of 600 kB).

--- a/internal/storenode/decision_log.go
+++ b/internal/storenode/decision_log.go
@@ -6,13 +6,15 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/passtray/passtray/internal/followed"
 	"github.com/passtray/passtray/internal/monotonic"
 	"github.com/passtray/passtray/internal/steering/token"
 	"github.com/passtray/passtray/internal/telemetry"
 )
 
 const (
-	// logLinesPerSecond and logLineBurst limit the log lines about decisions, per reason.
+	// logLinesPerSecond and logLineBurst limit the log lines about decisions, per reason, and those
+	// about other frequent events, per kind.
 	logLinesPerSecond = 20
 	logLineBurst      = 100
 	// suppressedInterval is how often the number of suppressed lines is logged.
@@ -25,9 +27,8 @@
 // decisionLog logs each decision other than to forward a packet of an established flow, within a rate
 // limit per reason.
 type decisionLog struct {
-	log              logr.Logger
-	budget           *telemetry.LogLimiter
-	nextSuppressedAt time.Time
+	log    logr.Logger
+	budget *telemetry.LogLimiter
 }
 
 func newDecisionLog(log logr.Logger) *decisionLog {
@@ -72,15 +73,26 @@
 	return packet.Source.String() + ">" + packet.Destination.String()
 }
 
+// newLogLimiter returns a limiter of log lines of one kind.
+func newLogLimiter() *telemetry.LogLimiter {
+	return telemetry.NewLogLimiter(1, logLinesPerSecond, logLineBurst)
+}
+
 // logSuppressed logs the number of suppressed lines, at most once per suppressedInterval.
-func (l *decisionLog) logSuppressed(now time.Time) {
-	if now.Before(l.nextSuppressedAt) {
+func (n *Node) logSuppressed(now time.Time) {
+	if now.Before(n.nextSuppressedAt) {
 		return
 	}
-	l.nextSuppressedAt = now.Add(suppressedInterval)
+	n.nextSuppressedAt = now.Add(suppressedInterval)
 	for reason := range token.ReasonCount {
-		if count := l.budget.TakeSuppressed(int(reason)); count > 0 {
-			l.log.Info(messageSuppressed, telemetry.FieldReason, reason.String(), telemetry.FieldCount, count)
-		}
+		n.logSuppressedCount(reason.String(), n.plane.decisionLog.budget.TakeSuppressed(int(reason)))
+	}
+	n.logSuppressedCount(messageSuperseded, n.successionLog.TakeSuppressed(0))
+	n.logSuppressedCount(string(followed.EventInvalidEntry), n.invalidLog.TakeSuppressed(0))
+}
+
+func (n *Node) logSuppressedCount(reason string, count uint64) {
+	if count > 0 {
+		n.log.Info(messageSuppressed, telemetry.FieldReason, reason, telemetry.FieldCount, count)
 	}
 }
--- a/internal/storenode/successions.go
+++ b/internal/storenode/successions.go
@@ -11,16 +11,8 @@
 const (
 	messageSuperseded    = "target superseded"
 	messageNotSuperseded = "target no longer superseded"
-
-	// successionLinesPerSecond and successionLineBurst limit the log lines about superseded targets.
-	successionLinesPerSecond = 20
-	successionLineBurst      = 100
 )
 
-func newSuccessionLogLimiter() *telemetry.LogLimiter {
-	return telemetry.NewLogLimiter(1, successionLinesPerSecond, successionLineBurst)
-}
-
 // noteSuccessions applies what other daemons saw of targets with the same address.
 func (n *Node) noteSuccessions(reports []storeview.Succession) {
 	if table := n.plane.table.Load(); table != nil && len(reports) > 0 {
@@ -44,9 +36,6 @@
 		}
 	}
 	n.fleet.ReportSuccessions(seen)
-	if suppressed := n.successionLog.TakeSuppressed(0); suppressed > 0 {
-		n.log.Info(messageSuppressed, telemetry.FieldReason, messageSuperseded, telemetry.FieldCount, suppressed)
-	}
 }
 
 func (n *Node) logSuccession(succession *token.Succession) {
--- a/internal/storeview/change.go
+++ b/internal/storeview/change.go
@@ -13,8 +13,10 @@
 	// LacksBase reports that a Difference could not be applied because its base version is not held
 	// here.
 	LacksBase bool
-	// InvalidEntries lists the rejected entries, each with its reason.
+	// InvalidEntries lists rejected entries, each with its reason, at most maxInvalidReports of a merge;
+	// OmittedInvalid counts the rest.
 	InvalidEntries []string
+	OmittedInvalid int
 	// Details lists state changes of targets, at most maxDetails; Omitted counts the rest.
 	Details []string
 	Omitted int
@@ -30,6 +32,14 @@
 	c.Details = append(c.Details, key+" "+state)
 }
 
+func (c *Change) addInvalid(reason string) {
+	if len(c.InvalidEntries) >= maxInvalidReports {
+		c.OmittedInvalid++
+		return
+	}
+	c.InvalidEntries = append(c.InvalidEntries, reason)
+}
+
 // Add merges another change into this one.
 func (c *Change) Add(other Change) {
 	c.Configuration = c.Configuration || other.Configuration
@@ -38,6 +48,7 @@
 	c.Orders = append(c.Orders, other.Orders...)
 	c.LacksBase = c.LacksBase || other.LacksBase
 	c.InvalidEntries = append(c.InvalidEntries, other.InvalidEntries...)
+	c.OmittedInvalid += other.OmittedInvalid
 	c.Details = append(c.Details, other.Details...)
 	c.Omitted += other.Omitted
 }
--- a/internal/storeview/configuration.go
+++ b/internal/storeview/configuration.go
@@ -58,8 +58,7 @@
 // rejectOlder reports a later write with an earlier version than the active one.
 func (v *configurationState) rejectOlder(entry *Entry, version uint64, change *Change) {
 	if entry.Revision > v.revision {
-		change.InvalidEntries = append(change.InvalidEntries, fmt.Sprintf("%s: version %d is older than the active version %d",
-			entry.Key, version, v.current.Version))
+		change.addInvalid(fmt.Sprintf("%s: version %d is older than the active version %d", entry.Key, version, v.current.Version))
 	}
 }
 
--- a/internal/storeview/invalid.go
+++ b/internal/storeview/invalid.go
@@ -3,12 +3,28 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
-// maxInvalidEntries bounds the invalid entries that are remembered, some 200 bytes each. Further
-// ones are rejected as well, but neither listed nor sent to peers as invalid.
-const maxInvalidEntries = 1024
+const (
+	// maxInvalidEntries bounds the invalid entries that are remembered. Further ones are rejected as
+	// well, but neither listed nor sent to peers as invalid.
+	maxInvalidEntries = 1024
+	// maxReasonBytes bounds the reason why an entry is invalid, which may quote its content.
+	maxReasonBytes = 256
+	// maxInvalidReports bounds the invalid entries reported by one change.
+	maxInvalidReports = 20
+)
+
+// shortened returns a text without what exceeds a length in bytes.
+func shortened(text string, limit int) string {
+	if len(text) <= limit {
+		return text
+	}
+	const mark = "..."
+	return strings.ToValidUTF8(text[:limit-len(mark)], "") + mark
+}
 
 // InvalidEntry describes an entry of the store that was rejected as invalid.
 type InvalidEntry struct {
@@ -25,13 +41,13 @@
 type invalidEntries map[string]InvalidEntry
 
 // add remembers an invalid entry; it reports false if it, or a later one, is already known.
-func (r invalidEntries) add(entry *Entry, at time.Time) bool {
+func (r invalidEntries) add(entry *Entry, reason string, at time.Time) bool {
 	existing, found := r[entry.Key]
 	if found && entry.Revision <= existing.Revision {
 		return false
 	}
 	if found || len(r) < maxInvalidEntries {
-		r[entry.Key] = InvalidEntry{Key: entry.Key, Revision: entry.Revision, Reason: entry.Fault, LearnedAt: at}
+		r[entry.Key] = InvalidEntry{Key: entry.Key, Revision: entry.Revision, Reason: reason, LearnedAt: at}
 	}
 	return true
 }
--- a/internal/storeview/invalid_test.go
+++ b/internal/storeview/invalid_test.go
@@ -1,9 +1,12 @@
 package storeview
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -89,3 +92,27 @@
 		}
 	})
 }
+
+// TestReasonsOfInvalidEntriesAreBounded guards against reasons that repeat the content of entries in
+// logs, memory and messages to peers, also where entries turn invalid again and again.
+func TestReasonsOfInvalidEntriesAreBounded(t *testing.T) {
+	view := New(time.Minute)
+	long := strings.Repeat("ä", 300_000)
+	revision := uint64(0)
+	for range 3 {
+		var entries []Entry
+		for number := range 2 * maxInvalidReports {
+			revision++
+			entries = append(entries, Entry{Key: fmt.Sprint("k", number), Revision: revision, Fault: long})
+		}
+		change := view.Merge(testStart, entries)
+		assert.Equal(t, len(change.InvalidEntries), maxInvalidReports)
+		assert.Equal(t, change.OmittedInvalid, maxInvalidReports)
+		assert.Assert(t, len(change.InvalidEntries[0]) < 2*maxReasonBytes)
+		view.Merge(testStart, []Entry{targetEntry("k0", revision+1)})
+		revision++
+	}
+	for _, entry := range view.EntriesSince(testStart, 0, Held{}) {
+		assert.Assert(t, len(entry.Fault) <= maxReasonBytes && utf8.ValidString(entry.Fault))
+	}
+}
