token: an entry with the identifier of another target takes no flows from it

An entry that another writer leaves under a key that ends in the identifier of a running target ("servers/a-7f" beside "servers/i-7f") took over its token: open flows of the running one went to the address of that entry, also to another service.

Cause: of targets with one token the lowest key won.

Change: the entry that was created first wins, then the lowest key. A new target whose token collides with that of a running one takes no flows from it either.

Test: TestEntryWithIdentifierOfAnotherTargetTakesNoFlows failed before (flow sent to 10.9.9.9:1).

--- a/internal/steering/token/index.go
+++ b/internal/steering/token/index.go
@@ -1,6 +1,7 @@
 package token
 
 import (
+	"cmp"
 	"encoding/binary"
 	"net/netip"
 
@@ -64,8 +65,8 @@
 	}
 }
 
-// find returns the target with a token, nil if there is none. If tokens collide, the target with
-// the lowest key gets the flows, so that all daemons agree.
+// find returns the target with a token, nil if there is none. If tokens collide, the target whose entry
+// was created first gets the flows.
 func (x *index) find(token uint32) *Target {
 	for target := x.byMark[loadshare.MarkOf(token)]; target != nil; target = target.nextSameMark {
 		if target.Token == token && !target.isShadowed {
@@ -156,12 +157,12 @@
 	}
 }
 
-// resolveCollision resolves token collisions: of the targets with a token only the one with the
-// lowest key gets flows.
+// resolveCollision resolves token collisions: of the targets with a token only the one whose entry was
+// created first gets flows, so that a later one takes none from it.
 func resolveCollision(chain *Target, token uint32) {
 	var owner *Target
 	for target := chain; target != nil; target = target.nextSameMark {
-		if target.Token == token && (owner == nil || target.Key < owner.Key) {
+		if target.Token == token && (owner == nil || target.precedes(owner)) {
 			owner = target
 		}
 	}
@@ -172,6 +173,11 @@
 	}
 }
 
+// precedes orders targets by the creation of their entries, on all daemons alike.
+func (t *Target) precedes(other *Target) bool {
+	return cmp.Or(cmp.Compare(t.Start.Revision, other.Start.Revision), cmp.Compare(t.Key, other.Key)) < 0
+}
+
 func (x *index) setSuperseded(target *Target, isSuperseded bool) {
 	if target.IsSuperseded == isSuperseded {
 		return
