storeview: old news of a first write does not date it

A daemon that hears late of the first write of a target that crashed before, and that the store has removed since, took it for made just now: a running target at the address counted as ended.

Cause: that a write was not known here at the last confirmation shows that the store did not have it then only if its revision is later than the known one.

Change: an entry up to the known revision has no such time.

Test: TestOldNewsOfFirstWriteIsNoLaterStart failed before.

--- a/internal/storeview/delayedwrite_test.go
+++ b/internal/storeview/delayedwrite_test.go
@@ -156,6 +156,18 @@
 	assert.Assert(t, !view.Target("c").StartedAfter(view.Target("b")))
 }
 
+// TestOldNewsOfFirstWriteIsNoLaterStart guards against taking a target that runs for ended because a peer
+// sends the first write of one that crashed before, after the store has removed it.
+func TestOldNewsOfFirstWriteIsNoLaterStart(t *testing.T) {
+	view := New(time.Minute)
+	follow(view, testStart, firstWrite(1, 1))
+	later := testStart.Add(time.Minute)
+	view.AdvanceTo(9)
+	view.SetConfirmedAt(later)
+	view.Merge(later, []Entry{firstWrite(2, 2)})
+	assert.Assert(t, !view.Target("c").StartedAfter(view.Target("b")))
+}
+
 // TestLaterFirstWriteIsLaterStart checks that a target counts as started later if its first write was
 // made after the other one was seen, also at daemons that learn of both from a peer.
 func TestLaterFirstWriteIsLaterStart(t *testing.T) {
--- a/internal/storeview/start.go
+++ b/internal/storeview/start.go
@@ -31,9 +31,10 @@
 	AbsentAt time.Time
 }
 
-// newStart returns what an entry tells about the start of its target, while everything that the store
-// held at confirmedAt was known. mayBeRestored reports that the entry may be from a backup of the store.
-func newStart(now, confirmedAt time.Time, entry *Entry, mayBeRestored bool) Start {
+// newStart returns what an entry tells about the start of its target. absentAt is a time at which the store
+// did not have it yet, zero if none is known. mayBeRestored reports that the entry may be from a backup
+// of the store.
+func newStart(now, absentAt time.Time, entry *Entry, mayBeRestored bool) Start {
 	start := Start{Revision: cmp.Or(entry.Created, entry.Revision)}
 	if history := entry.History; history != nil {
 		start.IsFirstWrite = history.IsFirstWrite
@@ -47,7 +48,7 @@
 	}
 	// An entry with a later sequence number existed before and expired, or its first write is delayed.
 	start.IsFirstWrite = entry.Target.Sequence <= 1
-	start.AbsentAt = confirmedAt
+	start.AbsentAt = absentAt
 	return start
 }
 
