membership: old reports of restarted members cause few pings

Change: at most 8 such pings in a probe interval; beyond, start numbers decide, as before. A predecessor is announced once, and then with each ping.

Test: TestOldReportsOfRestartedMembersCauseFewPings (2,400 pings without the bound).

--- a/internal/membership/restart_test.go
+++ b/internal/membership/restart_test.go
@@ -126,3 +126,21 @@
 		}
 	}
 }
+
+// TestOldReportsOfRestartedMembersCauseFewPings guards against a ping for each old report of a member,
+// when most of a large group restart at once.
+func TestOldReportsOfRestartedMembersCauseFewPings(t *testing.T) {
+	group := groupAt(1)
+	var restarted, reported []Member
+	for host := range byte(200) {
+		restarted = append(restarted, memberAt(host+2, 20))
+		reported = append(reported, memberAt(host+2, 10))
+	}
+	group.Merge(testStart, restarted)
+	pings := 0
+	for range 12 {
+		pings += len(group.Merge(testStart, reported).Datagrams)
+	}
+	assert.Equal(t, pings, maxIncumbentPings)
+	assert.Equal(t, len(group.Live()), len(restarted)+1)
+}
--- a/internal/membership/update.go
+++ b/internal/membership/update.go
@@ -30,8 +30,7 @@
 		if !update.IsLive() && update.Status != Left && update.Status != Dead {
 			return
 		}
-		if incumbent, found := g.LiveAt(update.Identity.Address); found && update.IsLive() && update.Identity.Start < incumbent.Identity.Start {
-			g.pingIncumbent(incumbent.Identity, output)
+		if update.IsLive() && g.asksIncumbent(update.Identity, output) {
 			return
 		}
 		known = &memberState{Member: Member{Identity: update.Identity}}
@@ -104,20 +103,31 @@
 	g.queue.addMember(g.self)
 }
 
-// pingIncumbent pings a live member at whose address an incarnation with a lower start number was
-// reported. Either the report is old or the clock was set back; in that case the reply announces that
-// the incumbent has ended.
-func (g *Group) pingIncumbent(incumbent identity.Identity, output *Output) {
+// maxIncumbentPings bounds the pings of incumbents in a probe interval. When many members restart at
+// once, old reports of them are frequent; beyond the bound start numbers decide.
+const maxIncumbentPings = 8
+
+// asksIncumbent pings the live member at an address at which an unknown incarnation with a lower start
+// number was reported. Either the report is old or the clock was set back; in that case the reply
+// announces that the incumbent has ended. It reports false if there is no such member, or none is pinged.
+func (g *Group) asksIncumbent(reported identity.Identity, output *Output) bool {
+	incumbent, found := g.LiveAt(reported.Address)
+	if !found || reported.Start >= incumbent.Identity.Start || g.incumbentPings >= maxIncumbentPings {
+		return false
+	}
+	g.incumbentPings++
 	g.sequence++
-	ping := message{Kind: kindPing, Sequence: g.sequence, Target: incumbent, Updates: g.ownRecords()}
-	g.sendMessage(incumbent.Address, ping, 0, output)
+	ping := message{Kind: kindPing, Sequence: g.sequence, Target: incumbent.Identity, Updates: g.ownRecords()}
+	g.sendMessage(reported.Address, ping, 0, output)
+	return true
 }
 
 // endPredecessor announces that an earlier incarnation at this member's address has ended, if its
 // start number is higher: the clock was set back since, so that others would hold this member for the
 // older one until they detect the failure of its predecessor.
 func (g *Group) endPredecessor(predecessor identity.Identity) {
-	if g.leaving || predecessor.Start <= g.self.Identity.Start {
+	isAnnounced := predecessor == g.predecessor.Identity // by each ping since
+	if g.leaving || isAnnounced || predecessor.Start <= g.self.Identity.Start {
 		return
 	}
 	g.predecessor = g.self
