--- a/internal/lab/storelab/entryfaults.go
+++ b/internal/lab/storelab/entryfaults.go
@@ -1,6 +1,7 @@
 package storelab
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -59,7 +60,7 @@
 func (s *site) runningTargets() []*target {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return slices.SortedFunc(maps.Values(s.targets), func(a, b *target) int { return int(a.identifier>>1) - int(b.identifier>>1) })
+	return slices.SortedFunc(maps.Values(s.targets), func(a, b *target) int { return cmp.Compare(a.identifier, b.identifier) })
 }
 
 // replaceValue replaces the value of a target's entry by invalid ones, several times, until the target
