--- a/internal/storenode/liveness_test.go
+++ b/internal/storenode/liveness_test.go
@@ -68,8 +68,17 @@
 		},
 		"target superseded as another one responds": func(t *testing.T, site *testSite, node *Node) {
 			site.putIncarnation("target-2", 78, 0)
-			nodetest.WaitFor(t, "the other target to be known", func() bool { return node.plane.table.Load().TargetByToken(token.Of(78)) != nil })
-			node.Enqueue(func(now time.Time) { node.plane.table.Load().TargetByToken(token.Of(78)).Signal.RecordActivity(now) })
+			nodetest.WaitFor(t, "the other target to be known", func() bool {
+				isKnown := make(chan bool, 1)
+				node.Enqueue(func(now time.Time) {
+					successor := node.plane.table.Load().TargetByToken(token.Of(78))
+					if successor != nil {
+						successor.Signal.RecordActivity(now)
+					}
+					isKnown <- successor != nil
+				})
+				return <-isKnown
+			})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
