--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command standin2 plays the script cases of the second review: it starts daemons as processes with
 // the command of the deploy file, and stands in for the platform's store, the routers, the clients
 // and the targets. All addresses are on loopback.
@@ -9,8 +11,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"sort"
 	"strings"
+	"syscall"
 )
 
 const (
@@ -44,6 +48,13 @@
 		return exitCannotRun
 	}
 	defer s.close()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stopped
+		s.close()
+		os.Exit(exitCannotRun)
+	}()
 	breaches, err := play(s, *hasTrouble)
 	if err != nil {
 		s.record.note("could not run: %v", err)
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
