--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -48,9 +48,10 @@
 	serviceLedger = "ledger"
 )
 
+// The routes' addresses stand in packets only. They are outside of the networks that chooseNetwork takes.
 var (
-	routeRoster = netip.MustParseAddrPort("198.18.0.1:8080")
-	routeLedger = netip.MustParseAddrPort("198.18.0.2:8443")
+	routeRoster = netip.MustParseAddrPort("127.240.0.1:8080")
+	routeLedger = netip.MustParseAddrPort("127.240.0.2:8443")
 )
 
 // site is a small deployment with stand-ins for all that is outside.
